--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,23 @@
+/**
+ * Bundles the program and its stand-ins into single CommonJS files under `dist/`.
+ * Each entry becomes one file, so that a process loads without a package tree.
+ */
+import {build} from 'esbuild';
+
+const entries = {
+	foxtailtide: 'src/main.ts',
+};
+
+await build({
+	entryPoints: entries,
+	outdir: 'dist',
+	outExtension: {'.js': '.cjs'},
+	bundle: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'cjs',
+	minifySyntax: true,
+	sourcemap: false,
+	legalComments: 'none',
+	logLevel: 'warning',
+});
--- /dev/null
+++ b/src/call/refusal.ts
@@ -0,0 +1,75 @@
+/**
+ * The refusals that a caller can receive. Each has a stable kind, an HTTP status and a message
+ * that names the remedy. A refusal says nothing of the outcome by itself: the place that
+ * refuses knows whether the request had been handed to a server.
+ */
+export const refusalKinds = {
+	malformed: 'malformed',
+	unknownService: 'unknown-service',
+	keyMissing: 'key-missing',
+	keyInvalid: 'key-invalid',
+	keyExpired: 'key-expired',
+	keyConflict: 'key-conflict',
+	keyHomeGone: 'key-home-gone',
+	storeUnavailable: 'store-unavailable',
+	ledgerFull: 'ledger-full',
+	bodyTooLarge: 'body-too-large',
+	noServer: 'no-server',
+	leaving: 'leaving',
+	overloaded: 'overloaded',
+	deadlineExceeded: 'deadline-exceeded',
+	quarantined: 'quarantined',
+	serverFailed: 'server-failed',
+	cancelled: 'cancelled',
+	notReady: 'not-ready',
+} as const;
+
+export type RefusalKind = (typeof refusalKinds)[keyof typeof refusalKinds];
+
+/** A typed refusal, ready to be answered to a caller. */
+export type Refusal = {
+	readonly kind: RefusalKind;
+	/** HTTP status code. */
+	readonly status: number;
+	/** What happened and what the caller can do about it. */
+	readonly message: string;
+	/** When a new try makes sense, in milliseconds from now. */
+	readonly retryAfterMilliseconds?: number;
+};
+
+const statusOf: Readonly<Record<RefusalKind, number>> = {
+	[refusalKinds.malformed]: 400,
+	[refusalKinds.unknownService]: 404,
+	[refusalKinds.keyMissing]: 428,
+	[refusalKinds.keyInvalid]: 400,
+	[refusalKinds.keyExpired]: 410,
+	[refusalKinds.keyConflict]: 422,
+	[refusalKinds.keyHomeGone]: 409,
+	[refusalKinds.storeUnavailable]: 503,
+	[refusalKinds.ledgerFull]: 503,
+	[refusalKinds.bodyTooLarge]: 413,
+	[refusalKinds.noServer]: 503,
+	[refusalKinds.leaving]: 503,
+	[refusalKinds.overloaded]: 429,
+	[refusalKinds.deadlineExceeded]: 504,
+	[refusalKinds.quarantined]: 422,
+	[refusalKinds.serverFailed]: 502,
+	[refusalKinds.cancelled]: 499,
+	[refusalKinds.notReady]: 503,
+};
+
+/**
+ * Creates a refusal.
+ *
+ * @param kind what was refused
+ * @param message what happened and what the caller can do about it
+ * @param retryAfterMilliseconds when a new try makes sense, in milliseconds from now
+ * @returns the refusal with the status of its kind
+ */
+export function createRefusal(
+	kind: RefusalKind,
+	message: string,
+	retryAfterMilliseconds?: number,
+): Refusal {
+	return {kind, status: statusOf[kind], message, retryAfterMilliseconds};
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,4 @@
+/** Entry of the program. */
+import process from 'node:process';
+
+process.stdout.write('foxtailtide\n');
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,35 @@
+/** Lint rules: XO's own, with its formatting rules left to Prettier set to XO's style. */
+const config = [
+	{
+		ignores: ['dist/**', 'src/generated/**', 'docs/**'],
+	},
+	{
+		prettier: 'compat',
+		rules: {
+			// Whole-word names are the house rule; the field's own short words stay.
+			'unicorn/prevent-abbreviations': ['error', {allowList: {args: false}}],
+			// Typed results and table rows use `undefined`; JSON documents need `null` nowhere.
+			'unicorn/no-array-callback-reference': 'off',
+			// Type imports are separate so that bundles carry no trace of them.
+			'import-x/extensions': 'off',
+			'n/file-extension-in-import': 'off',
+			// The test runner itself waits for its tests.
+			'@typescript-eslint/no-floating-promises': [
+				'error',
+				{
+					allowForKnownSafeCalls: [
+						{from: 'package', package: 'node:test', name: ['test', 'describe', 'it']},
+					],
+				},
+			],
+		},
+	},
+	{
+		files: ['test/**', 'bench/**', 'stand-ins/**', 'scripts/**', 'demo/**'],
+		rules: {
+			'no-await-in-loop': 'off',
+		},
+	},
+];
+
+export default config;
