Add the table stand-in: conditional writes in memory, with faults and counters

Cause: nothing can be proved about store outages, lost answers and conflicts without a table. Versions come from one sequence, so that a row written anew never bears an old version; a version per row was ruled out because a removed and recreated row could then meet an old condition. Faults and counters stand beside the rows on the same listener, under paths of their own.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -6,6 +6,7 @@
 
 const entries = {
 	foxtailtide: 'src/main.ts',
+	'stand-in-table': 'stand-ins/table/main.ts',
 };
 
 await build({
--- /dev/null
+++ b/stand-ins/table/handler.ts
@@ -0,0 +1,199 @@
+/**
+ * Answers the requests of the table stand-in: rows under `/rows`, faults under `/faults` and
+ * counters under `/counters`. The contract of `/rows` is that of `src/platform`.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {text} from 'node:stream/consumers';
+import {setTimeout as wait} from 'node:timers/promises';
+import {
+	createFaultState,
+	faultsSchema,
+	outages,
+	strikes,
+	takeLoss,
+	type FaultState,
+} from './faults.js';
+import {
+	createRows,
+	listRows,
+	meetsCondition,
+	writeRow,
+	type Condition,
+	type Row,
+	type Rows,
+} from './rows.js';
+
+const defaultPageRows = 1000;
+const rowsPath = '/rows';
+
+type Counters = {
+	reads: number;
+	lists: number;
+	writes: number;
+	removals: number;
+	conflicts: number;
+};
+
+type Table = {readonly rows: Rows; faultState: FaultState; readonly counters: Counters};
+
+type Answer = {
+	readonly status: number;
+	readonly headers?: Record<string, string>;
+	readonly body?: string;
+};
+
+/** Creates the handler of one table with its own rows, faults and counters. */
+export function createTableHandler() {
+	const table: Table = {
+		rows: createRows(),
+		faultState: createFaultState(),
+		counters: {reads: 0, lists: 0, writes: 0, removals: 0, conflicts: 0},
+	};
+	return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const body = await text(request);
+		const url = new URL(request.url ?? '/', 'http://table');
+		if (url.pathname === '/faults' || url.pathname === '/counters') {
+			send(response, control(table, request.method, url.pathname, body));
+			return;
+		}
+
+		await answerRows(table, {request, response, url, body});
+	};
+}
+
+async function answerRows(
+	table: Table,
+	call: {request: IncomingMessage; response: ServerResponse; url: URL; body: string},
+): Promise<void> {
+	const {request, response, url, body} = call;
+	const {faults} = table.faultState;
+	const method = request.method ?? 'GET';
+	const key = decodeURIComponent(url.pathname.slice(rowsPath.length + 1));
+	if (faults.delayMilliseconds > 0) {
+		await wait(faults.delayMilliseconds);
+	}
+
+	if (faults.outage === outages.hangs) {
+		return;
+	}
+
+	if (faults.outage === outages.refuses) {
+		send(response, {status: 503, headers: {'retry-after': '1'}});
+		return;
+	}
+
+	const struck = strikes(faults, method, key || (url.searchParams.get('prefix') ?? ''));
+	const isCut = faults.outage === outages.cuts;
+	if (isCut || (struck && takeLoss(table.faultState, 'requestsLost'))) {
+		request.socket.destroy();
+		return;
+	}
+
+	const answer = serveRows(table, method, {key, url, body, headers: request.headers});
+	if (struck && takeLoss(table.faultState, 'answersLost')) {
+		request.socket.destroy();
+		return;
+	}
+
+	send(response, answer);
+}
+
+type RowsRequest = {
+	readonly key: string;
+	readonly url: URL;
+	readonly body: string;
+	readonly headers: IncomingMessage['headers'];
+};
+
+function serveRows(table: Table, method: string, request: RowsRequest): Answer {
+	if (!request.url.pathname.startsWith(rowsPath)) {
+		return {status: 404};
+	}
+
+	if (method === 'GET' && request.key === '') {
+		table.counters.lists += 1;
+		const {searchParams} = request.url;
+		const limit = Number(searchParams.get('limit') ?? defaultPageRows);
+		const prefix = searchParams.get('prefix') ?? '';
+		const page = listRows(table.rows, prefix, searchParams.get('after') ?? '', limit);
+		return {status: 200, body: JSON.stringify(page)};
+	}
+
+	if (method === 'GET') {
+		table.counters.reads += 1;
+		const row = table.rows.byKey.get(request.key);
+		return row === undefined ? {status: 404} : describeRow(200, row);
+	}
+
+	if (method === 'PUT' || method === 'DELETE') {
+		return change(table, method, request);
+	}
+
+	return {status: 405};
+}
+
+function change(table: Table, method: 'PUT' | 'DELETE', request: RowsRequest): Answer {
+	const condition = parseCondition(request.headers);
+	if (condition === undefined) {
+		return {status: 428, body: 'send If-None-Match: * or If-Match: "version"'};
+	}
+
+	table.counters[method === 'PUT' ? 'writes' : 'removals'] += 1;
+	const present = table.rows.byKey.get(request.key);
+	if (!meetsCondition(present, condition)) {
+		table.counters.conflicts += 1;
+		return present === undefined ? {status: 412} : describeRow(412, present);
+	}
+
+	if (method === 'DELETE') {
+		table.rows.byKey.delete(request.key);
+		return {status: 204};
+	}
+
+	const row = writeRow(table.rows, request.key, request.body);
+	return {status: present === undefined ? 201 : 200, headers: {etag: `"${row.version}"`}};
+}
+
+function parseCondition(headers: IncomingMessage['headers']): Condition | undefined {
+	if (headers['if-none-match'] === '*') {
+		return {kind: 'absent'};
+	}
+
+	const version = headers['if-match']?.replaceAll('"', '');
+	return version === undefined ? undefined : {kind: 'version', version};
+}
+
+function describeRow(status: number, row: Row): Answer {
+	return {status, headers: {etag: `"${row.version}"`}, body: row.value};
+}
+
+function control(
+	table: Table,
+	method: string | undefined,
+	path: string,
+	body: string,
+): Answer {
+	if (path === '/counters') {
+		return {status: 200, body: JSON.stringify(table.counters)};
+	}
+
+	if (method === 'GET') {
+		return {status: 200, body: JSON.stringify(table.faultState.faults)};
+	}
+
+	const parsed = faultsSchema.safeParse(JSON.parse(body === '' ? '{}' : body));
+	if (!parsed.success) {
+		return {status: 400, body: parsed.error.message};
+	}
+
+	table.faultState = createFaultState(parsed.data);
+	return {status: 200, body: JSON.stringify(parsed.data)};
+}
+
+function send(response: ServerResponse, answer: Answer): void {
+	const body = answer.body ?? '';
+	const length = answer.status === 204 ? {} : {'content-length': Buffer.byteLength(body)};
+	response.writeHead(answer.status, {...length, ...answer.headers});
+	response.end(answer.status === 204 ? undefined : body);
+}
