--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -6,6 +6,7 @@
 
 const entries = {
 	foxtailtide: 'src/main.ts',
+	'stand-in-server': 'stand-ins/server/main.ts',
 	'stand-in-table': 'stand-ins/table/main.ts',
 };
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -13,6 +13,8 @@
 			// Type imports are separate so that bundles carry no trace of them.
 			'import-x/extensions': 'off',
 			'n/file-extension-in-import': 'off',
+			// The bundles are CommonJS, which has no top-level await.
+			'unicorn/prefer-top-level-await': 'off',
 			// The test runner itself waits for its tests.
 			'@typescript-eslint/no-floating-promises': [
 				'error',
