--- /dev/null
+++ b/src/configuration/schema.ts
@@ -0,0 +1,107 @@
+/**
+ * The shape of a team's configuration document. Unknown keys are faults, and everything that has
+ * a sensible default may be left out. Shares run from 0 to 1.
+ */
+import {z} from 'zod';
+
+export const routingChoices = {
+	/** Candidates by load view, then by estimated latency. */
+	adaptive: 'adaptive',
+	random: 'random',
+	roundRobin: 'round-robin',
+	/** Fewest own requests in flight. */
+	leastInFlight: 'least-in-flight',
+	/** The better of two random servers by their last reports. */
+	twoChoices: 'two-choices',
+} as const;
+
+export type RoutingChoice = (typeof routingChoices)[keyof typeof routingChoices];
+
+const maximumKeyedBodyBytes = 1_048_576;
+const longestDeadlineMilliseconds = 86_400_000;
+
+const share = z.number().min(0).max(1);
+const namePattern = String.raw`^[a-z0-9]([a-z0-9\-]{0,61}[a-z0-9])?$`;
+const methodPattern = '^[A-Z]+$';
+const name = z
+	.string()
+	.regex(
+		new RegExp(namePattern, 'v'),
+		'use 1 to 63 lower-case letters, digits and inner hyphens',
+	);
+const method = z
+	.string()
+	.regex(new RegExp(methodPattern, 'v'), 'use an HTTP method in capitals, such as GET');
+
+const rankPolicySchema = z.strictObject({
+	name,
+	/** Share of a server's slots that the rank keeps while more urgent ranks flood. */
+	floorShare: share,
+});
+
+const servicePolicySchema = z.strictObject({
+	/** Rank of calls that name none; also the most urgent rank that a call may name. */
+	rank: name,
+	/** Time that a call has when it names none. */
+	deadlineMilliseconds: z.number().positive().max(longestDeadlineMilliseconds),
+	idempotentMethods: z.array(method).default(['GET', 'HEAD']),
+	/** Largest body of a call that carries an idempotency key. */
+	maximumKeyedBodyBytes: z.int().min(0).default(maximumKeyedBodyBytes),
+	/** Whether bodies are streamed and judged by progress rather than by the deadline. */
+	upload: z.boolean().default(false),
+});
+
+const routingPolicySchema = z.strictObject({
+	choice: z.enum(routingChoices).default(routingChoices.adaptive),
+	/** Servers weighed for each call. */
+	candidates: z.int().min(1).max(16).default(2),
+	/** Largest share of a service's servers that may be ejected at once. */
+	ejectionShare: share.default(0.2),
+	/** Retries as a share of first attempts. */
+	retryShare: share.default(0.1),
+	/** Hedges as a share of first attempts. */
+	hedgeShare: share.default(0.05),
+	/** Quantile of latency after which an idempotent call is hedged. */
+	hedgeQuantile: z.number().gt(0).lt(1).default(0.95),
+	/** Volume that a node may send to other regions. */
+	crossRegionBytesPerSecond: z.number().min(0).default(1_000_000),
+});
+
+const admissionPolicySchema = z.strictObject({
+	/** Calls that may wait for each slot. */
+	queuePerSlot: z.number().min(0).max(1000).default(4),
+	/** Whether callers of one rank take turns. */
+	fairness: z.boolean().default(true),
+});
+
+const measuringPolicySchema = z.strictObject({
+	/** Bytes that a node may spend on measuring load, replies to others included. */
+	bytesPerSecond: z.number().min(0).default(2048),
+	/** Share of one core that a node may spend on measuring load. */
+	processorShare: share.default(0.005),
+});
+
+const presetSchema = z.strictObject({
+	/** Most urgent first. */
+	ranks: z.array(rankPolicySchema).min(1).max(16),
+	services: z.record(name, servicePolicySchema),
+	routing: routingPolicySchema.prefault({}),
+	admission: admissionPolicySchema.prefault({}),
+	measuring: measuringPolicySchema.prefault({}),
+});
+
+/** The document as the library checks it; rules between fields stand in `rules.ts`. */
+export const documentSchema = z.strictObject({
+	team: name,
+	/** Name of the one preset in force. */
+	inForce: name,
+	presets: z.record(name, presetSchema),
+});
+
+export type RankPolicy = Readonly<z.infer<typeof rankPolicySchema>>;
+export type ServicePolicy = Readonly<z.infer<typeof servicePolicySchema>>;
+export type RoutingPolicy = Readonly<z.infer<typeof routingPolicySchema>>;
+export type AdmissionPolicy = Readonly<z.infer<typeof admissionPolicySchema>>;
+export type MeasuringPolicy = Readonly<z.infer<typeof measuringPolicySchema>>;
+export type Preset = Readonly<z.infer<typeof presetSchema>>;
+export type ConfigurationDocument = Readonly<z.infer<typeof documentSchema>>;
