Decide at the gate who gets a slot, who waits and who is refused

A gate has to serve urgent work first without starving the rest, and to refuse at once what it cannot answer in time. Admission is strict by rank above floors kept by credits in slot time, takes turns between callers and goes by earliest deadline within a caller. A full queue drops the least urgent work first but leaves each floor its places.

The floors property first failed at floors of 26, 26 and 1 percent on one slot: places kept for floors were rounded up and together filled the queue, so the third rank never entered; they are rounded down now.

--- /dev/null
+++ b/src/admission/admission.ts
@@ -0,0 +1,196 @@
+/**
+ * The gate's decisions about slots and queue. A request is dispatched, queued or refused; each
+ * end of a request gives its slot to the next. All functions change the state in place and
+ * return what the gate has to do. Every request that was offered is answered exactly once: by a
+ * dispatch, by a refusal, or by a cancellation.
+ */
+import {learnFromAnswer} from './concurrency.js';
+import {
+	offerKinds,
+	refusalReasons,
+	type Offer,
+	type RefusalReason,
+	type RefusedRequest,
+	type Turn,
+} from './decision.js';
+import {estimateRetryAfter, estimateWait} from './estimate.js';
+import {chargeDispatch, learnServiceTime} from './floors.js';
+import {findRankIndex} from './policy.js';
+import {findDisplaceable} from './displacement.js';
+import {
+	dropFromLongest,
+	enqueue,
+	removeFromQueue,
+	type WaitingRequest,
+} from './rank-queue.js';
+import {countQueuePlaces, countUsableSlots, type AdmissionState} from './state.js';
+import {describeRefused, takeTurns, turnOf} from './turns.js';
+
+const meanServiceWeight = 0.05;
+const dispatchOffer: Offer = {kind: offerKinds.dispatch};
+const quietOffer: Offer = {kind: offerKinds.queued, displaced: undefined};
+
+/** A request that asks for a slot. */
+export type AdmissionRequest = {
+	/** Unique among the requests of the gate. */
+	readonly id: string;
+	/** Name of its rank; an unknown one counts as the least urgent. */
+	readonly rank: string;
+	/** Who sent it; callers within a rank take turns. */
+	readonly caller: string;
+	/** Monotonic time in milliseconds; infinite without a deadline. */
+	readonly deadlineAt: number;
+	/** Expected service time; by default what the rank took of late. */
+	readonly serviceMilliseconds?: number;
+};
+
+/** How a request ended at the server. */
+export type RequestEnd = {
+	/** How long the server had it. */
+	readonly serviceMilliseconds: number;
+	/** Whether the server refused it for its load. */
+	readonly shed?: boolean;
+	/** Whether it was cut short or failed, so that its time says nothing of the server's speed. */
+	readonly partial?: boolean;
+};
+
+/**
+ * Offers a request to the gate.
+ *
+ * @param state changed in place
+ * @param request the request
+ * @param now monotonic time in milliseconds
+ * @returns whether to dispatch it now, keep it waiting or refuse it
+ */
+export function offer(
+	state: AdmissionState,
+	request: AdmissionRequest,
+	now: number,
+): Offer {
+	if (state.running.has(request.id) || state.waiting.has(request.id)) {
+		return refuse(state, refusalReasons.duplicate);
+	}
+
+	if (request.deadlineAt <= now) {
+		return refuse(state, refusalReasons.expired);
+	}
+
+	if (state.waiting.size === 0 && state.running.size < countUsableSlots(state)) {
+		const rankIndex = findRankIndex(state.policy.ranks, request.rank);
+		chargeDispatch(state.ranks, rankIndex, state.serviceMilliseconds);
+		state.running.set(request.id, {rank: request.rank});
+		return dispatchOffer;
+	}
+
+	return offerToQueue(state, request, now);
+}
+
+/**
+ * Ends a request that was dispatched and hands its slot on.
+ *
+ * @param state changed in place
+ * @param id the request
+ * @param end how it ended
+ * @param now monotonic time in milliseconds
+ * @returns the waiting requests to dispatch and those that are too late
+ */
+export function release(
+	state: AdmissionState,
+	id: string,
+	end: RequestEnd,
+	now: number,
+): Turn {
+	const running = state.running.get(id);
+	if (running === undefined) {
+		return takeTurns(state, now);
+	}
+
+	learnFromAnswer(state.concurrency, state.running.size, end.shed === true, now);
+	state.running.delete(id);
+	if (end.shed !== true && end.partial !== true) {
+		const rankIndex = findRankIndex(state.policy.ranks, running.rank);
+		learnServiceTime(state.ranks[rankIndex]!, end.serviceMilliseconds);
+		state.serviceMilliseconds +=
+			(end.serviceMilliseconds - state.serviceMilliseconds) * meanServiceWeight;
+	}
+
+	return takeTurns(state, now);
+}
+
+/**
+ * Withdraws a request that may still wait.
+ *
+ * @param state changed in place
+ * @param id the request
+ * @returns whether it was still queued, so that it will never be dispatched
+ */
+export function cancel(state: AdmissionState, id: string): boolean {
+	const request = state.waiting.get(id);
+	if (request === undefined) {
+		return false;
+	}
+
+	const rankIndex = findRankIndex(state.policy.ranks, request.rank);
+	removeFromQueue(state.ranks[rankIndex]!.queue, turnOf(state, request), id);
+	state.waiting.delete(id);
+	return true;
+}
+
+/**
+ * Refuses the waiting requests whose time has run out.
+ *
+ * @param state changed in place
+ * @param now monotonic time in milliseconds
+ * @returns the requests to refuse
+ */
+export function expire(state: AdmissionState, now: number): RefusedRequest[] {
+	const refused: RefusedRequest[] = [];
+	for (const request of state.waiting.values()) {
+		if (request.deadlineAt <= now) {
+			cancel(state, request.id);
+			refused.push(describeRefused(state, request.id, refusalReasons.expired));
+		}
+	}
+
+	return refused;
+}
+
+function offerToQueue(
+	state: AdmissionState,
+	request: AdmissionRequest,
+	now: number,
+): Offer {
+	const rankIndex = findRankIndex(state.policy.ranks, request.rank);
+	const rank = state.ranks[rankIndex]!;
+	const serviceMilliseconds = request.serviceMilliseconds ?? rank.serviceMilliseconds;
+	const caller = turnOf(state, request);
+	const answeredAt = now + estimateWait(state, rankIndex, caller) + serviceMilliseconds;
+	if (answeredAt > request.deadlineAt) {
+		return refuse(state, refusalReasons.tooLate);
+	}
+
+	let displaced: RefusedRequest | undefined;
+	if (state.waiting.size >= countQueuePlaces(state)) {
+		const victim = findDisplaceable(state, rankIndex, caller);
+		const dropped = victim && dropFromLongest(victim.queue);
+		if (dropped === undefined) {
+			return refuse(state, refusalReasons.queueFull);
+		}
+
+		state.waiting.delete(dropped.id);
+		displaced = describeRefused(state, dropped.id, refusalReasons.displaced);
+	}
+
+	const waiting: WaitingRequest = {...request, serviceMilliseconds};
+	state.waiting.set(request.id, waiting);
+	enqueue(rank.queue, caller, waiting);
+	return displaced === undefined ? quietOffer : {kind: offerKinds.queued, displaced};
+}
+
+function refuse(state: AdmissionState, reason: RefusalReason): Offer {
+	return {
+		kind: offerKinds.refused,
+		reason,
+		retryAfterMilliseconds: estimateRetryAfter(state),
+	};
+}
--- /dev/null
+++ b/src/admission/floors.ts
@@ -0,0 +1,81 @@
+/**
+ * Whose turn the next slot is: strict by rank above the guaranteed floors. While a rank waits,
+ * each dispatch earns it its floor share of the slot time; once that pays for one of its
+ * requests, the rank goes before more urgent ones. A rank that is served without its floor owes
+ * nothing, and one that doesn't wait earns nothing.
+ */
+import {type RankState} from './state.js';
+
+const recentShareWeight = 0.05;
+const serviceWeight = 0.1;
+const smallestCost = 0.05;
+
+/**
+ * Chooses the rank that the next slot goes to.
+ *
+ * @param ranks the gate's ranks, most urgent first
+ * @param meanServiceMilliseconds moving mean over all ranks
+ * @returns the position of the rank, or undefined when nothing waits
+ */
+export function chooseRank(
+	ranks: readonly RankState[],
+	meanServiceMilliseconds: number,
+): number | undefined {
+	let mostUrgent: number | undefined;
+	for (const [index, rank] of ranks.entries()) {
+		if (rank.queue.size === 0) {
+			continue;
+		}
+
+		mostUrgent ??= index;
+		if (rank.credit >= costOf(rank, meanServiceMilliseconds)) {
+			return index;
+		}
+	}
+
+	return mostUrgent;
+}
+
+/**
+ * Books one dispatch.
+ *
+ * @param ranks changed in place
+ * @param dispatched the position of the rank that was served
+ * @param meanServiceMilliseconds moving mean over all ranks
+ */
+export function chargeDispatch(
+	ranks: readonly RankState[],
+	dispatched: number,
+	meanServiceMilliseconds: number,
+): void {
+	const served = ranks[dispatched]!;
+	const cost = costOf(served, meanServiceMilliseconds);
+	for (const rank of ranks) {
+		const share = rank === served ? 1 : 0;
+		rank.recentShare += (share - rank.recentShare) * recentShareWeight;
+		if (rank.queue.size > 0 || rank === served) {
+			rank.credit += rank.floorShare * cost;
+		}
+	}
+
+	served.credit = Math.max(0, served.credit - cost);
+}
+
+/**
+ * Learns the service time of a rank from one whole answer.
+ *
+ * @param rank changed in place
+ * @param serviceMilliseconds how long the server took
+ */
+export function learnServiceTime(rank: RankState, serviceMilliseconds: number): void {
+	rank.serviceMilliseconds +=
+		(serviceMilliseconds - rank.serviceMilliseconds) * serviceWeight;
+}
+
+/** The slot time that one request of the rank takes, in units of the mean service time. */
+function costOf(rank: RankState, meanServiceMilliseconds: number): number {
+	return Math.max(
+		smallestCost,
+		rank.serviceMilliseconds / Math.max(meanServiceMilliseconds, Number.MIN_VALUE),
+	);
+}
--- /dev/null
+++ b/src/admission/index.ts
@@ -0,0 +1,32 @@
+/** Public surface of admission: the gate's slots and queue. */
+export {
+	cancel,
+	expire,
+	offer,
+	release,
+	type AdmissionRequest,
+	type RequestEnd,
+} from './admission.js';
+export {announceSlots, changePolicy} from './changes.js';
+export {
+	offerKinds,
+	refusalReasons,
+	type Offer,
+	type RefusalReason,
+	type RefusedRequest,
+	type Turn,
+} from './decision.js';
+export {
+	fairnessModes,
+	findRankIndex,
+	type AdmissionPolicy,
+	type FairnessMode,
+	type GatePolicy,
+	type RankPolicy,
+} from './policy.js';
+export {
+	countQueuePlaces,
+	countUsableSlots,
+	createAdmission,
+	type AdmissionState,
+} from './state.js';
--- /dev/null
+++ b/src/admission/state.ts
@@ -0,0 +1,84 @@
+/**
+ * The state of a gate's admission: what runs, what waits, and what each rank is owed. One gate
+ * owns one state; the decisions in this folder change it in place.
+ */
+import {createConcurrencyLimit, type ConcurrencyLimit} from './concurrency.js';
+import {type GatePolicy} from './policy.js';
+import {createRankQueue, type RankQueue, type WaitingRequest} from './rank-queue.js';
+
+const startingServiceMilliseconds = 10;
+
+/** One rank at a gate. */
+export type RankState = {
+	readonly name: string;
+	readonly floorShare: number;
+	readonly queue: RankQueue;
+	/** Slot time that the rank's floor owes it, in units of the mean service time. */
+	credit: number;
+	/** Moving share of the dispatched slot time that went to the rank, 0 to 1. */
+	recentShare: number;
+	/** Moving mean of the rank's service time. */
+	serviceMilliseconds: number;
+};
+
+/** A request that runs. */
+export type RunningRequest = {readonly rank: string};
+
+export type AdmissionState = {
+	policy: GatePolicy;
+	ranks: RankState[];
+	readonly concurrency: ConcurrencyLimit;
+	readonly running: Map<string, RunningRequest>;
+	readonly waiting: Map<string, WaitingRequest>;
+	/** Moving mean of the service time over all ranks. */
+	serviceMilliseconds: number;
+};
+
+/**
+ * Creates the admission of one gate.
+ *
+ * @param policy the part of the preset in force that a gate needs
+ * @param slots requests that the server announced to run at once
+ * @returns a state with nothing running and nothing waiting
+ */
+export function createAdmission(policy: GatePolicy, slots: number): AdmissionState {
+	return {
+		policy,
+		ranks: createRankStates(policy),
+		concurrency: createConcurrencyLimit(slots),
+		running: new Map(),
+		waiting: new Map(),
+		serviceMilliseconds: startingServiceMilliseconds,
+	};
+}
+
+/**
+ * @param policy the part of a preset that a gate needs
+ * @returns a state for each of its ranks, with nothing waiting
+ */
+export function createRankStates(policy: GatePolicy): RankState[] {
+	return policy.ranks.map(rank => ({
+		name: rank.name,
+		floorShare: rank.floorShare,
+		queue: createRankQueue(),
+		credit: 0,
+		recentShare: 0,
+		serviceMilliseconds: startingServiceMilliseconds,
+	}));
+}
+
+/**
+ * @param state the gate's admission
+ * @returns requests that may run at once now
+ */
+export function countUsableSlots(state: AdmissionState): number {
+	return Math.floor(state.concurrency.limit);
+}
+
+/**
+ * @param state the gate's admission
+ * @returns requests that may wait at once
+ */
+export function countQueuePlaces(state: AdmissionState): number {
+	return Math.ceil(state.policy.admission.queuePerSlot * state.concurrency.slots);
+}
--- /dev/null
+++ b/src/admission/turns.ts
@@ -0,0 +1,73 @@
+/** How free slots are handed to what waits. */
+import {
+	refusalReasons,
+	type RefusalReason,
+	type RefusedRequest,
+	type Turn,
+} from './decision.js';
+import {estimateRetryAfter} from './estimate.js';
+import {chargeDispatch, chooseRank} from './floors.js';
+import {fairnessModes} from './policy.js';
+import {dequeue} from './rank-queue.js';
+import {countUsableSlots, type AdmissionState} from './state.js';
+
+/**
+ * Hands every free slot to what waits.
+ *
+ * @param state changed in place
+ * @param now monotonic time in milliseconds
+ * @returns the waiting requests to dispatch and those that are too late
+ */
+export function takeTurns(state: AdmissionState, now: number): Turn {
+	const dispatch: string[] = [];
+	const refused: RefusedRequest[] = [];
+	while (state.running.size < countUsableSlots(state)) {
+		const rankIndex = chooseRank(state.ranks, state.serviceMilliseconds);
+		const request =
+			rankIndex === undefined ? undefined : dequeue(state.ranks[rankIndex]!.queue);
+		if (rankIndex === undefined || request === undefined) {
+			break;
+		}
+
+		state.waiting.delete(request.id);
+		if (request.deadlineAt <= now) {
+			refused.push(describeRefused(state, request.id, refusalReasons.expired));
+			continue;
+		}
+
+		chargeDispatch(state.ranks, rankIndex, state.serviceMilliseconds);
+		state.running.set(request.id, {rank: request.rank});
+		dispatch.push(request.id);
+	}
+
+	return {dispatch, refused};
+}
+
+/**
+ * Tells whose turn a request takes: its caller's, or everybody's where callers aren't told
+ * apart.
+ *
+ * @param state the gate's admission
+ * @param request the request
+ * @returns the name of the turn
+ */
+export function turnOf(
+	state: AdmissionState,
+	request: {readonly caller: string},
+): string {
+	return state.policy.admission.fairness === fairnessModes.caller ? request.caller : '';
+}
+
+/**
+ * @param state the gate's admission
+ * @param id the request
+ * @param reason why it is refused
+ * @returns what its caller is to be told
+ */
+export function describeRefused(
+	state: AdmissionState,
+	id: string,
+	reason: RefusalReason,
+): RefusedRequest {
+	return {id, reason, retryAfterMilliseconds: estimateRetryAfter(state)};
+}
