Add the client of the table service, with its contract and fault cases

Cause: every lasting row goes through the platform's table, and its answers can be lost after the effect. The client tells a request that cannot have arrived (unavailable) from one that may have (timed-out): a broken connection alone proves nothing, so it counts as the latter. Repeats inside the client were ruled out: only the owner of a row knows whether one is safe.

--- /dev/null
+++ b/src/platform/exchange.ts
@@ -0,0 +1,110 @@
+/**
+ * One HTTP exchange with the platform, with a bound on time and on the size of the answer. It
+ * tells apart a request that cannot have arrived from one that may have.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	request as requestPlain,
+	type Agent,
+	type ClientRequest,
+	type IncomingHttpHeaders,
+	type IncomingMessage,
+	type OutgoingHttpHeaders,
+} from 'node:http';
+import {request as requestSecure} from 'node:https';
+import {err, ok, type Result} from 'neverthrow';
+import {createTimedOut, createUnavailable, type TableError} from './table-error.js';
+
+const maximumAnswerBytes = 16_777_216;
+
+export type ExchangeRequest = {
+	readonly url: URL;
+	readonly method: string;
+	readonly headers?: OutgoingHttpHeaders;
+	readonly body?: string;
+	readonly agent: Agent;
+	/** Time for the whole exchange, the answer's body included. */
+	readonly timeoutMilliseconds: number;
+};
+
+export type ExchangeAnswer = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: string;
+};
+
+/**
+ * Sends a request and reads the whole answer.
+ *
+ * @param exchange the request with its bounds
+ * @returns the answer; `unavailable` when no connection was made, `timed-out` when the request may
+ * have arrived
+ */
+export async function sendExchange(
+	exchange: ExchangeRequest,
+): Promise<Result<ExchangeAnswer, TableError>> {
+	const signal = AbortSignal.timeout(exchange.timeoutMilliseconds);
+	const request = open(exchange, signal);
+	const isConnected = watchConnection(request);
+	try {
+		const response = await sendRequest(request, exchange.body);
+		const body = await readAnswer(response);
+		return ok({status: response.statusCode ?? 0, headers: response.headers, body});
+	} catch (error) {
+		const bound = `no answer in ${exchange.timeoutMilliseconds} ms`;
+		const reason = signal.aborted ? bound : describe(error);
+		return err(isConnected() ? createTimedOut(reason) : createUnavailable(reason));
+	}
+}
+
+function open(exchange: ExchangeRequest, signal: AbortSignal): ClientRequest {
+	const request = exchange.url.protocol === 'https:' ? requestSecure : requestPlain;
+	const {method, headers, agent} = exchange;
+	return request(exchange.url, {method, headers, agent, signal});
+}
+
+/** A request on a connection that stands may have left; before that it cannot have. */
+function watchConnection(request: ClientRequest): () => boolean {
+	let connected = false;
+	request.once('socket', socket => {
+		if (!socket.connecting) {
+			connected = true;
+			return;
+		}
+
+		socket.once('connect', () => {
+			connected = true;
+		});
+	});
+	return () => connected;
+}
+
+async function sendRequest(
+	request: ClientRequest,
+	body: string | undefined,
+): Promise<IncomingMessage> {
+	return new Promise((resolve, reject) => {
+		request.once('response', resolve);
+		request.on('error', reject);
+		request.end(body);
+	});
+}
+
+async function readAnswer(response: IncomingMessage): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	let bytes = 0;
+	for await (const chunk of response as AsyncIterable<Uint8Array>) {
+		bytes += chunk.byteLength;
+		if (bytes > maximumAnswerBytes) {
+			throw new Error(`the answer is over ${maximumAnswerBytes} bytes`);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+}
+
+function describe(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
+}
--- a/stand-ins/table/handler.ts
+++ b/stand-ins/table/handler.ts
@@ -116,8 +116,15 @@
 		const {searchParams} = request.url;
 		const limit = Number(searchParams.get('limit') ?? defaultPageRows);
 		const prefix = searchParams.get('prefix') ?? '';
-		const page = listRows(table.rows, prefix, searchParams.get('after') ?? '', limit);
-		return {status: 200, body: JSON.stringify(page)};
+		const {rows, next} = listRows(
+			table.rows,
+			prefix,
+			searchParams.get('after') ?? '',
+			limit,
+		);
+		const isBrief = searchParams.get('fields') === 'version';
+		const given = isBrief ? rows.map(({key, version}) => ({key, version})) : rows;
+		return {status: 200, body: JSON.stringify({rows: given, next})};
 	}
 
 	if (method === 'GET') {
--- /dev/null
+++ b/test/support/table.ts
@@ -0,0 +1,38 @@
+/** The table stand-in inside the test's own process. */
+import {createServer} from 'node:http';
+import {createTableClient, type TableClient} from '../../src/platform/index.js';
+import {createTableHandler} from '../../stand-ins/table/handler.js';
+
+export const shortTimeoutMilliseconds = 150;
+
+/** Runs the stand-in on a free port, with a client whose calls are short, and stops it after. */
+export async function withTable(
+	use: (
+		table: TableClient,
+		setFaults: (faults: unknown) => Promise<void>,
+	) => Promise<void>,
+): Promise<void> {
+	const handle = createTableHandler();
+	const server = createServer((request, response) => {
+		void handle(request, response);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const bound = server.address();
+	const port = typeof bound === 'object' ? bound?.port : undefined;
+	const address = `http://127.0.0.1:${port}`;
+	const table = createTableClient({
+		address,
+		timeoutMilliseconds: shortTimeoutMilliseconds,
+	});
+	try {
+		await use(table, async faults => {
+			await fetch(`${address}/faults`, {method: 'PUT', body: JSON.stringify(faults)});
+		});
+	} finally {
+		table.close();
+		server.closeAllConnections();
+		server.close();
+	}
+}
