Add membership: gossip of who lives over UDP, versions of topics and announcements

Nodes need to find each other without a list of servers and without a coordination service. Each node probes one member an interval, directly and through peers, suspects before it condemns, and refutes what is false of itself by a higher revision. Detail and standing of a member are each a maximum over a total order, so news may come in any order. Join and anti-entropy compare digests of buckets and send what differs in pages. Every datagram is paid from one byte budget.

Sync by gRPC was ruled out: it holds connections among all nodes, and its bytes cannot be paid one datagram at a time.

--- /dev/null
+++ b/src/membership/broadcast.ts
@@ -0,0 +1,107 @@
+/**
+ * The rumours that this member still passes on. Each is sent a bounded number of times; those
+ * sent least often go first, and among these the newest. News of a subject replaces the older
+ * news of it.
+ */
+import {subjectOf, type Rumour} from './message.js';
+import {rumourBytes} from './codec.js';
+
+type Entry = {
+	readonly subject: string;
+	readonly rumour: Rumour;
+	readonly bytes: number;
+};
+
+/** Rumours by the number of times that they were sent, newest last. */
+export type Broadcast = {
+	readonly entries: Map<string, Entry>;
+	readonly tiers: Entry[][];
+};
+
+/**
+ * Creates an empty queue of rumours.
+ *
+ * @returns the queue
+ */
+export function createBroadcast(): Broadcast {
+	return {entries: new Map(), tiers: []};
+}
+
+/**
+ * Queues a rumour in place of an older one on the same subject. Updates the queue in place.
+ *
+ * @param broadcast the queue
+ * @param rumour the news
+ */
+export function enqueueRumour(broadcast: Broadcast, rumour: Rumour): void {
+	const subject = subjectOf(rumour);
+	const entry: Entry = {subject, rumour, bytes: rumourBytes(rumour)};
+	broadcast.entries.set(subject, entry);
+	broadcast.tiers[0] ??= [];
+	broadcast.tiers[0].push(entry);
+}
+
+/**
+ * Takes the rumours that fit, and counts them as sent once more. Updates the queue in place.
+ *
+ * @param broadcast the queue
+ * @param bytes room in the datagram
+ * @param transmissions times that a rumour is sent in all
+ * @returns the rumours to send
+ */
+export function takeRumours(
+	broadcast: Broadcast,
+	bytes: number,
+	transmissions: number,
+): Rumour[] {
+	const taken: Rumour[] = [];
+	let room = bytes;
+	// Highest tier last, so an entry that moves up is not met twice: tiers are read before
+	// what was taken is put back.
+	const moved: Array<{entry: Entry; tier: number}> = [];
+	for (const [sent, tier] of broadcast.tiers.entries()) {
+		room = takeFromTier(broadcast, tier, room, entry => {
+			taken.push(entry.rumour);
+			moved.push({entry, tier: sent + 1});
+		});
+	}
+
+	for (const {entry, tier} of moved.toReversed()) {
+		if (tier >= transmissions) {
+			broadcast.entries.delete(entry.subject);
+			continue;
+		}
+
+		broadcast.tiers[tier] ??= [];
+		broadcast.tiers[tier].push(entry);
+	}
+
+	return taken;
+}
+
+/** Takes from the end of a tier while entries fit, dropping those that newer news replaced. */
+function takeFromTier(
+	broadcast: Broadcast,
+	tier: Entry[],
+	room: number,
+	take: (entry: Entry) => void,
+): number {
+	let left = room;
+	while (tier.length > 0) {
+		const entry = tier.at(-1)!;
+		if (broadcast.entries.get(entry.subject) !== entry) {
+			tier.pop();
+			continue;
+		}
+
+		if (entry.bytes > left) {
+			return left;
+		}
+
+		tier.pop();
+		left -= entry.bytes;
+		take(entry);
+	}
+
+	return left;
+}
--- /dev/null
+++ b/src/membership/codec.ts
@@ -0,0 +1,146 @@
+/**
+ * Packets to and from bytes. The library checks the encoding; this module checks the meaning,
+ * so that nothing malformed reaches the state.
+ */
+import {Buffer} from 'node:buffer';
+import {err, ok, type Result} from 'neverthrow';
+import {Packet as WirePacket} from '../generated/membership.js';
+import {type Body, type Packet, type Rumour} from './message.js';
+import {addRumour, readName, readRumours} from './wire-rumour.js';
+
+/** Largest datagram: fits one frame of a path between regions. */
+export const maximumDatagramBytes = 1200;
+
+/** Headers of IP and UDP, paid with each datagram. */
+export const datagramOverheadBytes = 28;
+
+const fieldOverheadBytes = 4;
+const nameOverheadBytes = 2;
+
+/** A datagram that is not a packet of this protocol. */
+export type CodecError = {
+	readonly kind: 'malformed-packet';
+	readonly message: string;
+};
+
+/**
+ * Encodes a packet.
+ *
+ * @param packet what to send
+ * @returns its bytes
+ */
+export function encodePacket(packet: Packet): Uint8Array {
+	const names = new Map<string, number>();
+	const wire: WirePacket = {
+		names: [],
+		details: [],
+		standings: [],
+		versions: [],
+		announcements: [],
+		from: packet.from,
+		body: toWireBody(packet.body),
+	};
+	for (const rumour of packet.rumours) {
+		addRumour(wire, names, rumour);
+	}
+
+	wire.names.push(...names.keys());
+	return WirePacket.encode(wire).finish();
+}
+
+/**
+ * Decodes a datagram.
+ *
+ * @param bytes what arrived
+ * @returns the packet, or why it is none
+ */
+export function decodePacket(bytes: Uint8Array): Result<Packet, CodecError> {
+	try {
+		const wire = WirePacket.decode(bytes);
+		const rumours = [...readRumours(wire)];
+		return ok({from: readName(wire.from), body: fromWireBody(wire.body), rumours});
+	} catch (error) {
+		const reason = error instanceof Error ? error.message : String(error);
+		const message = `datagram is no membership packet (${reason}); check that only nodes send to the control port`;
+		return err({kind: 'malformed-packet', message});
+	}
+}
+
+/**
+ * Gives the room that a rumour takes in a packet at most.
+ *
+ * @param rumour the news
+ * @returns bytes
+ */
+export function rumourBytes(rumour: Rumour): number {
+	const wire = WirePacket.fromPartial({});
+	const names = new Map<string, number>();
+	addRumour(wire, names, rumour);
+	let bytes = WirePacket.encode(wire).finish().length + fieldOverheadBytes;
+	for (const name of names.keys()) {
+		bytes += Buffer.byteLength(name) + nameOverheadBytes;
+	}
+
+	return bytes;
+}
+
+function toWireBody(body: Body): WirePacket['body'] {
+	switch (body.kind) {
+		case 'gossip': {
+			return undefined;
+		}
+
+		case 'syncPage': {
+			return {$case: 'syncPage', value: {}};
+		}
+
+		case 'ping': {
+			return {$case: 'ping', value: body};
+		}
+
+		case 'acknowledgement': {
+			return {$case: 'acknowledgement', value: body};
+		}
+
+		case 'indirectPing': {
+			return {$case: 'indirectPing', value: body};
+		}
+
+		case 'syncRequest': {
+			const value = {
+				...body,
+				digests: [...body.digests],
+				services: [...body.services],
+			};
+			return {$case: 'syncRequest', value};
+		}
+	}
+}
+
+function fromWireBody(body: WirePacket['body']): Body {
+	if (body === undefined) {
+		return {kind: 'gossip'};
+	}
+
+	switch (body.$case) {
+		case 'ping': {
+			return {kind: 'ping', ...body.value};
+		}
+
+		case 'acknowledgement': {
+			return {kind: 'acknowledgement', ...body.value};
+		}
+
+		case 'indirectPing': {
+			return {kind: 'indirectPing', ...body.value};
+		}
+
+		case 'syncRequest': {
+			return {kind: 'syncRequest', ...body.value};
+		}
+
+		case 'syncPage': {
+			return {kind: 'syncPage'};
+		}
+	}
+}
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,2 +1,17 @@
-/** Public surface of membership: who lives, who leaves, and where they stand. */
+/** Public surface of membership: who lives, who leaves, where they stand, and the news shared. */
 export {memberStatuses, type Member, type MemberStatus} from './member.js';
+export {
+	type AnnouncementListener,
+	type MemberListener,
+	type Membership,
+	type MembershipError,
+	type MembershipOptions,
+	type SelfDescription,
+	type VersionListener,
+} from './membership.js';
+export {type Address} from './message.js';
+export {defaultParameters, type MembershipParameters} from './parameters.js';
+export {seedRowsPerFailureDomain, type SeedRow} from './seeds.js';
+export {type SelfPatch} from './state.js';
+export {createMembership} from './task.js';
+export {type CreateTransport, type Transport} from './transport.js';
--- /dev/null
+++ b/src/membership/roster.ts
@@ -0,0 +1,249 @@
+/**
+ * The members that a node knows of, with the views that the hot path, the probes and the
+ * anti-entropy need. All functions update the roster in place.
+ */
+import {hashText, toggleDigest} from './hash.js';
+import {memberStatuses, type Member} from './member.js';
+import {type MemberRecord} from './record.js';
+
+/** Buckets of members whose digests are compared by the anti-entropy. */
+export const bucketCount = 128;
+
+export type Roster = {
+	readonly records: Map<string, MemberRecord>;
+	/** Names of the members that are not dead, in the order of probing; without this node. */
+	readonly peers: string[];
+	readonly peerPositions: Map<string, number>;
+	readonly services: Map<string, Map<string, Member>>;
+	/** Alive and leaving members by service; absent where something has changed. */
+	readonly serviceViews: Map<string, readonly Member[]>;
+	readonly buckets: Array<Set<string>>;
+	readonly digests: Uint32Array;
+	/** Dead members and when they were found dead, oldest first. */
+	readonly departed: Map<string, number>;
+};
+
+const noMembers: readonly Member[] = [];
+
+/**
+ * Creates an empty roster.
+ *
+ * @returns the roster
+ */
+export function createRoster(): Roster {
+	return {
+		records: new Map(),
+		peers: [],
+		peerPositions: new Map(),
+		services: new Map(),
+		serviceViews: new Map(),
+		buckets: Array.from({length: bucketCount}, () => new Set<string>()),
+		digests: new Uint32Array(bucketCount),
+		departed: new Map(),
+	};
+}
+
+/**
+ * Puts a record in place of the one held.
+ *
+ * @param roster the roster
+ * @param record the newer record
+ * @param isSelf whether it is this node, which is never probed
+ * @param now present time in milliseconds
+ */
+export function putRecord(
+	roster: Roster,
+	record: MemberRecord,
+	isSelf: boolean,
+	now: number,
+): void {
+	const {nodeId} = record.member;
+	const previous = roster.records.get(nodeId);
+	roster.records.set(nodeId, record);
+	const bucket = bucketOf(nodeId);
+	roster.buckets[bucket]!.add(nodeId);
+	if (previous !== undefined) {
+		toggle(roster, bucket, previous);
+	}
+
+	toggle(roster, bucket, record);
+	indexService(roster, previous?.member, record.member);
+	const isDead = record.member.status === memberStatuses.dead;
+	if (isDead && !roster.departed.has(nodeId)) {
+		roster.departed.set(nodeId, now);
+	}
+
+	if (!isDead) {
+		roster.departed.delete(nodeId);
+	}
+
+	if (isDead || isSelf) {
+		removePeer(roster, nodeId);
+		return;
+	}
+
+	addPeer(roster, nodeId);
+}
+
+/**
+ * Forgets the members that have been dead for long.
+ *
+ * @param roster the roster
+ * @param before time in milliseconds; members found dead earlier are forgotten
+ */
+export function forgetDeparted(roster: Roster, before: number): void {
+	for (const [nodeId, since] of roster.departed) {
+		if (since >= before) {
+			return;
+		}
+
+		roster.departed.delete(nodeId);
+		forgetRecord(roster, nodeId);
+	}
+}
+
+/**
+ * Lists the alive and leaving members of a service. The same array is given until one of them
+ * changes.
+ *
+ * @param roster the roster
+ * @param service name of the service
+ * @returns its members
+ */
+export function viewService(roster: Roster, service: string): readonly Member[] {
+	const view = roster.serviceViews.get(service);
+	if (view !== undefined) {
+		return view;
+	}
+
+	const members = roster.services.get(service);
+	if (members === undefined) {
+		return noMembers;
+	}
+
+	const fresh = [...members.values()].filter(
+		({status}) => status === memberStatuses.alive || status === memberStatuses.leaving,
+	);
+	roster.serviceViews.set(service, fresh);
+	return fresh;
+}
+
+/**
+ * Picks peers at random.
+ *
+ * @param roster the roster
+ * @param count peers wanted
+ * @param random source of numbers from 0 to below 1
+ * @param except a node that is not wanted
+ * @returns at most `count` different peers
+ */
+export function pickPeers(
+	roster: Roster,
+	count: number,
+	random: () => number,
+	except?: string,
+): Member[] {
+	const {peers} = roster;
+	const chosen = new Set<string>();
+	const attempts = count * 3;
+	for (let attempt = 0; attempt < attempts && chosen.size < count; attempt += 1) {
+		const nodeId = peers[Math.floor(random() * peers.length)];
+		if (nodeId !== undefined && nodeId !== except) {
+			chosen.add(nodeId);
+		}
+	}
+
+	return [...chosen].map(nodeId => roster.records.get(nodeId)!.member);
+}
+
+/** The bucket of a member. */
+function bucketOf(nodeId: string): number {
+	return hashText(nodeId) % bucketCount;
+}
+
+/**
+ * Digest of what is held of a member; the XOR of all in a bucket is the digest of the bucket.
+ * The dead count for nothing, since nodes forget them at different times.
+ */
+function digestOf(record: MemberRecord): number {
+	const {member, detailRevision, standing} = record;
+	if (member.status === memberStatuses.dead) {
+		return 0;
+	}
+
+	const text = `${member.nodeId} ${member.incarnation} ${detailRevision} ${standing.incarnation} ${standing.revision} ${standing.status}`;
+	return hashText(text);
+}
+
+function toggle(roster: Roster, bucket: number, record: MemberRecord): void {
+	roster.digests[bucket] = toggleDigest(roster.digests[bucket]!, digestOf(record));
+}
+
+function indexService(
+	roster: Roster,
+	previous: Member | undefined,
+	member: Member,
+): void {
+	if (previous?.service !== undefined) {
+		roster.serviceViews.delete(previous.service);
+		if (previous.service !== member.service) {
+			dropFromService(roster, previous.service, member.nodeId);
+		}
+	}
+
+	if (member.service === undefined) {
+		return;
+	}
+
+	const members = roster.services.get(member.service) ?? new Map<string, Member>();
+	members.set(member.nodeId, member);
+	roster.services.set(member.service, members);
+	roster.serviceViews.delete(member.service);
+}
+
+function dropFromService(roster: Roster, service: string, nodeId: string): void {
+	const members = roster.services.get(service);
+	members?.delete(nodeId);
+	roster.serviceViews.delete(service);
+	if (members?.size === 0) {
+		roster.services.delete(service);
+	}
+}
+
+function forgetRecord(roster: Roster, nodeId: string): void {
+	const record = roster.records.get(nodeId);
+	if (record === undefined) {
+		return;
+	}
+
+	const bucket = bucketOf(nodeId);
+	roster.records.delete(nodeId);
+	roster.buckets[bucket]!.delete(nodeId);
+	toggle(roster, bucket, record);
+	removePeer(roster, nodeId);
+	if (record.member.service !== undefined) {
+		dropFromService(roster, record.member.service, nodeId);
+	}
+}
+
+function addPeer(roster: Roster, nodeId: string): void {
+	if (!roster.peerPositions.has(nodeId)) {
+		roster.peerPositions.set(nodeId, roster.peers.length);
+		roster.peers.push(nodeId);
+	}
+}
+
+/** Moves the last peer to the place that falls free. */
+function removePeer(roster: Roster, nodeId: string): void {
+	const position = roster.peerPositions.get(nodeId);
+	if (position === undefined) {
+		return;
+	}
+
+	roster.peerPositions.delete(nodeId);
+	const last = roster.peers.pop()!;
+	if (last !== nodeId) {
+		roster.peers[position] = last;
+		roster.peerPositions.set(last, position);
+	}
+}
--- /dev/null
+++ b/src/membership/send.ts
@@ -0,0 +1,114 @@
+/** Sending: every datagram is paid from the byte budget and filled up with rumours. */
+import {takeRumours} from './broadcast.js';
+import {fillBudget, spendBytes} from './budget.js';
+import {datagramOverheadBytes, encodePacket, maximumDatagramBytes} from './codec.js';
+import {type Address, type Body, type Rumour} from './message.js';
+import {scaleByMembers} from './parameters.js';
+import {type Step} from './state.js';
+
+/**
+ * Sends a packet when the budget allows it, with as much news as fits.
+ *
+ * @param step the event being decided
+ * @param address where to
+ * @param body what is asked or answered
+ * @param rumours news that the packet must carry
+ * @returns whether it was sent
+ */
+export function sendPacket(
+	step: Step,
+	address: Address,
+	body: Body,
+	rumours: readonly Rumour[] = [],
+): boolean {
+	const {state} = step;
+	const from = state.self.member.nodeId;
+	const bare = encodePacket({from, body, rumours});
+	const room = roomForRumours(step, bare.length);
+	const news = room > 0 ? takeNews(step, room) : [];
+	const bytes =
+		news.length > 0 ? encodePacket({from, body, rumours: [...rumours, ...news]}) : bare;
+	return sendBytes(step, address, bytes, state.budget.tokens);
+}
+
+/**
+ * Sends queued news alone, from what is left above the reserve for probes.
+ *
+ * @param step the event being decided
+ * @param address where to
+ * @returns whether there was news and it was sent
+ */
+export function sendGossip(step: Step, address: Address): boolean {
+	const from = step.state.self.member.nodeId;
+	const body: Body = {kind: 'gossip'};
+	const bare = encodePacket({from, body, rumours: []});
+	const rumours = takeNews(step, roomForRumours(step, bare.length));
+	if (rumours.length === 0) {
+		return false;
+	}
+
+	const bytes = encodePacket({from, body, rumours});
+	return sendBytes(step, address, bytes, availableBytes(step));
+}
+
+/**
+ * Sends a page in answer to a sync request, from what is left above the reserve for probes.
+ *
+ * @param step the event being decided
+ * @param address where to
+ * @param rumours what the page holds
+ * @returns whether it was sent
+ */
+export function sendPage(
+	step: Step,
+	address: Address,
+	rumours: readonly Rumour[],
+): boolean {
+	const from = step.state.self.member.nodeId;
+	const bytes = encodePacket({from, body: {kind: 'syncPage'}, rumours});
+	return sendBytes(step, address, bytes, availableBytes(step));
+}
+
+/**
+ * Gives the bytes that may be sent now without touching the reserve for probes.
+ *
+ * @param step the event being decided
+ * @returns bytes; negative when the reserve is in use
+ */
+export function availableBytes(step: Step): number {
+	const {budget, parameters} = step.state;
+	fillBudget(budget, step.now);
+	return budget.tokens - parameters.probeReserveBytes;
+}
+
+function roomForRumours(step: Step, bareBytes: number): number {
+	const available = availableBytes(step) - datagramOverheadBytes;
+	return Math.min(maximumDatagramBytes, available) - bareBytes;
+}
+
+function takeNews(step: Step, room: number): Rumour[] {
+	const {broadcast, parameters, roster} = step.state;
+	const transmissions = scaleByMembers(
+		parameters.retransmitMultiplier,
+		roster.records.size,
+	);
+	return takeRumours(broadcast, room, transmissions);
+}
+
+function sendBytes(
+	step: Step,
+	address: Address,
+	bytes: Uint8Array,
+	limit: number,
+): boolean {
+	const {budget, counters} = step.state;
+	const cost = bytes.length + datagramOverheadBytes;
+	if (cost > limit || !spendBytes(budget, cost)) {
+		counters.packetsWithheld += 1;
+		return false;
+	}
+
+	counters.packetsSent += 1;
+	step.effects.push({kind: 'send', address, bytes});
+	return true;
+}
--- /dev/null
+++ b/src/membership/task.ts
@@ -0,0 +1,242 @@
+/**
+ * The task of membership: it owns the UDP socket, the timers and the state. Everything reaches
+ * the state as an event through one queue; what others read of it is read-only.
+ */
+import {Deferred, Effect, Queue, type Scope} from 'effect';
+import {decodePacket} from './codec.js';
+import {createDump} from './dump.js';
+import {createListeners, type Listeners} from './listeners.js';
+import {advance} from './machine.js';
+import {type Member, memberStatuses} from './member.js';
+import {
+	type Membership,
+	type MembershipError,
+	type MembershipOptions,
+} from './membership.js';
+import {type Address} from './message.js';
+import {defaultParameters} from './parameters.js';
+import {viewService} from './roster.js';
+import {followSeeds} from './seed-task.js';
+import {parseSeedAddress} from './seeds.js';
+import {
+	createState,
+	type MembershipEffect,
+	type MembershipEvent,
+	type MembershipState,
+} from './state.js';
+import {createUdpTransport, type Transport} from './transport.js';
+
+/** Events that wait; more are dropped, as datagrams are that the system has no room for. */
+const queueCapacity = 4096;
+
+type Task = {
+	readonly options: MembershipOptions;
+	readonly state: MembershipState;
+	readonly listeners: Listeners;
+	readonly queue: Queue.Queue<MembershipEvent>;
+	readonly settled: Deferred.Deferred<void>;
+	readonly left: Deferred.Deferred<void>;
+};
+
+/**
+ * Starts membership: joins by the seeds and follows the mesh until the scope closes.
+ *
+ * @param options this node, its seeds and its surroundings
+ * @returns the membership, once the incarnation of this node is settled
+ */
+export function createMembership(
+	options: MembershipOptions,
+): Effect.Effect<Membership, MembershipError, Scope.Scope> {
+	return Effect.gen(function* () {
+		const seeds = yield* readSettingsSeeds(options.seeds);
+		const task = yield* createTask(options, seeds);
+		const transport = yield* openTransport(task);
+		yield* Effect.forkScoped(consume(task, transport));
+		yield* Effect.forkScoped(tickForever(task));
+		yield* Effect.forkScoped(
+			followSeeds({...task, settingsSeeds: seeds, hasRows: false}),
+		);
+		yield* Effect.addFinalizer(() => handle(task, transport, {kind: 'farewell'}));
+		yield* Deferred.await(task.settled);
+		return createSurface(task);
+	});
+}
+
+function readSettingsSeeds(
+	texts: readonly string[],
+): Effect.Effect<Address[], MembershipError> {
+	const addresses: Address[] = [];
+	for (const text of texts) {
+		const parsed = parseSeedAddress(text);
+		if (parsed.isErr()) {
+			return Effect.fail(parsed.error);
+		}
+
+		addresses.push(parsed.value);
+	}
+
+	return Effect.succeed(addresses);
+}
+
+function createTask(
+	options: MembershipOptions,
+	seeds: readonly Address[],
+): Effect.Effect<Task> {
+	return Effect.gen(function* () {
+		const now = options.now();
+		const parameters = {...defaultParameters, ...options.parameters};
+		const self: Member = {...options.self, status: memberStatuses.alive, revision: 0};
+		const state = createState(self, parameters, now);
+		state.seeds = seeds;
+		for (const service of options.services ?? []) {
+			state.wantedServices.add(service);
+		}
+
+		if (seeds.length === 0 && options.readSeeds === undefined) {
+			state.settleAt = now;
+		}
+
+		const queue = yield* Queue.dropping<MembershipEvent>(queueCapacity);
+		const settled = yield* Deferred.make<void>();
+		const left = yield* Deferred.make<void>();
+		return {options, state, listeners: createListeners(), queue, settled, left};
+	});
+}
+
+function openTransport(
+	task: Task,
+): Effect.Effect<Transport, MembershipError, Scope.Scope> {
+	const {self, listenHost, createTransport = createUdpTransport} = task.options;
+	const address: Address = {host: listenHost ?? self.host, port: self.controlPort};
+	const open = Effect.tryPromise({
+		try: async () => createTransport(address, receiveInto(task)),
+		catch: (error): MembershipError => ({
+			kind: 'control-port-unavailable',
+			message: `cannot listen at ${address.host}:${address.port} over UDP (${String(error)}); set a free control port and an address of this VM`,
+		}),
+	});
+	return Effect.acquireRelease(open, transport =>
+		Effect.promise(async () => transport.close()),
+	);
+}
+
+function receiveInto(task: Task): (bytes: Uint8Array, from: Address) => void {
+	const {queue, state} = task;
+	return (bytes, from) => {
+		state.counters.bytesReceived += bytes.length;
+		decodePacket(bytes).match(
+			packet => {
+				Queue.unsafeOffer(queue, {kind: 'packet', packet, from});
+			},
+			() => {
+				state.counters.malformed += 1;
+			},
+		);
+	};
+}
+
+function consume(task: Task, transport: Transport): Effect.Effect<never> {
+	return Queue.take(task.queue).pipe(
+		Effect.flatMap(event => handle(task, transport, event)),
+		Effect.forever,
+	);
+}
+
+function tickForever(task: Task): Effect.Effect<never> {
+	const {tickIntervalMilliseconds} = task.state.parameters;
+	return Effect.sync(() => Queue.unsafeOffer(task.queue, {kind: 'tick'})).pipe(
+		Effect.zipRight(Effect.sleep(tickIntervalMilliseconds)),
+		Effect.forever,
+	);
+}
+
+function handle(
+	task: Task,
+	transport: Transport,
+	event: MembershipEvent,
+): Effect.Effect<void> {
+	const {state, options} = task;
+	return Effect.sync(() => {
+		for (const effect of advance(state, event, options.now(), options.random)) {
+			perform(task, transport, effect);
+		}
+	});
+}
+
+function perform(task: Task, transport: Transport, effect: MembershipEffect): void {
+	const {listeners, settled, left} = task;
+	switch (effect.kind) {
+		case 'send': {
+			transport.send(effect.address, effect.bytes);
+			break;
+		}
+
+		case 'memberChanged': {
+			listeners.tellMember(effect.member, effect.previous);
+			break;
+		}
+
+		case 'versionRaised': {
+			listeners.tellVersion(effect.topic, effect.version, effect.from);
+			break;
+		}
+
+		case 'announced': {
+			listeners.tellAnnouncement(effect.id, effect.payload);
+			break;
+		}
+
+		case 'settled': {
+			Deferred.unsafeDone(settled, Effect.void);
+			break;
+		}
+
+		case 'leaveSpread': {
+			Deferred.unsafeDone(left, Effect.void);
+			break;
+		}
+
+		case 'superseded': {
+			listeners.tellSuperseded(task.options.self.nodeId, effect.incarnation);
+			break;
+		}
+	}
+}
+
+function createSurface(task: Task): Membership {
+	const {state, listeners, queue, left} = task;
+	const offer = (event: MembershipEvent): void => {
+		Queue.unsafeOffer(queue, event);
+	};
+
+	return {
+		self: () => state.self.member,
+		updateSelf(patch) {
+			offer({kind: 'updateSelf', patch});
+		},
+		membersOf(service) {
+			if (!state.wantedServices.has(service)) {
+				offer({kind: 'want', service});
+			}
+
+			return viewService(state.roster, service);
+		},
+		find: nodeId => state.roster.records.get(nodeId)?.member,
+		all: () => [...state.roster.records.values()].map(({member}) => member),
+		subscribe: listeners.onMember,
+		publishVersion(topic, version) {
+			offer({kind: 'publishVersion', topic, version});
+		},
+		onVersion: listeners.onVersion,
+		versionOf: topic => state.topics.get(topic),
+		announce(id, payload, lifetimeMilliseconds) {
+			offer({kind: 'announce', id, payload, lifetimeMilliseconds});
+		},
+		onAnnouncement: listeners.onAnnouncement,
+		async leave() {
+			offer({kind: 'leave'});
+			await Effect.runPromise(Deferred.await(left));
+		},
+		dump: () => createDump(state),
+	};
+}
--- /dev/null
+++ b/src/membership/wire-rumour.ts
@@ -0,0 +1,173 @@
+/**
+ * Rumours to and from the messages of the wire. Strings that many details share are sent once
+ * for each packet.
+ */
+import {Buffer} from 'node:buffer';
+import {type Detail, type Packet as WirePacket} from '../generated/membership.js';
+import {memberStatuses, type Member, type MemberStatus} from './member.js';
+import {type Rumour} from './message.js';
+import {joinRecord, type MemberRecord} from './record.js';
+
+const maximumNameLength = 200;
+const maximumPort = 65_535;
+const statuses: readonly MemberStatus[] = [
+	memberStatuses.alive,
+	memberStatuses.leaving,
+	memberStatuses.suspect,
+	memberStatuses.dead,
+];
+
+/**
+ * Adds a rumour to a packet.
+ *
+ * @param wire the packet, updated in place
+ * @param names strings that the details of the packet share, updated in place
+ * @param rumour the news
+ */
+export function addRumour(
+	wire: WirePacket,
+	names: Map<string, number>,
+	rumour: Rumour,
+): void {
+	switch (rumour.kind) {
+		case 'detail': {
+			wire.details.push(toDetail(rumour.record, names));
+			break;
+		}
+
+		case 'standing': {
+			const {incarnation, revision, status} = rumour.standing;
+			const code = statuses.indexOf(status);
+			const {nodeId} = rumour;
+			wire.standings.push({nodeId, incarnation, revision, status: code});
+			break;
+		}
+
+		case 'version': {
+			wire.versions.push({topic: rumour.topic, version: rumour.version});
+			break;
+		}
+
+		case 'announcement': {
+			wire.announcements.push({
+				id: rumour.id,
+				payload: Buffer.from(rumour.payload),
+				remainingMilliseconds: rumour.remainingMilliseconds,
+			});
+			break;
+		}
+	}
+}
+
+function toDetail(record: MemberRecord, names: Map<string, number>): Detail {
+	const {member, detailRevision, standing} = record;
+	const indexOf = (name: string | undefined): number => {
+		if (name === undefined) {
+			return 0;
+		}
+
+		const index = names.get(name) ?? names.size + 1;
+		names.set(name, index);
+		return index;
+	};
+
+	return {
+		nodeId: member.nodeId,
+		incarnation: member.incarnation,
+		detailRevision,
+		host: member.host,
+		peerPort: member.peerPort,
+		controlPort: member.controlPort,
+		region: indexOf(member.region),
+		failureDomain: indexOf(member.failureDomain),
+		service: indexOf(member.service),
+		slots: member.slots,
+		standingIncarnation: standing.incarnation,
+		revision: standing.revision,
+		status: statuses.indexOf(standing.status),
+	};
+}
+
+/**
+ * Reads the rumours of a packet.
+ *
+ * @param wire the packet
+ * @returns the rumours; throws a RangeError at the first that means nothing
+ */
+export function* readRumours(wire: WirePacket): Generator<Rumour> {
+	for (const detail of wire.details) {
+		yield {kind: 'detail', record: fromDetail(detail, wire.names)};
+	}
+
+	for (const {nodeId, incarnation, revision, status} of wire.standings) {
+		const standing = {incarnation, revision, status: readStatus(status)};
+		yield {kind: 'standing', nodeId: readName(nodeId), standing};
+	}
+
+	for (const {topic, version} of wire.versions) {
+		yield {kind: 'version', topic: readName(topic), version};
+	}
+
+	for (const {id, payload, remainingMilliseconds} of wire.announcements) {
+		yield {kind: 'announcement', id: readName(id), payload, remainingMilliseconds};
+	}
+}
+
+function fromDetail(detail: Detail, names: readonly string[]): MemberRecord {
+	const {incarnation, revision, detailRevision, standingIncarnation} = detail;
+	if (standingIncarnation < incarnation) {
+		throw new RangeError('standing is of an earlier life than its detail');
+	}
+
+	const standing = {
+		incarnation: standingIncarnation,
+		revision,
+		status: readStatus(detail.status),
+	};
+	const service = detail.service === 0 ? undefined : readName(names[detail.service - 1]);
+	const member: Member = {
+		nodeId: readName(detail.nodeId),
+		incarnation,
+		status: standing.status,
+		host: readName(detail.host),
+		peerPort: readPort(detail.peerPort),
+		controlPort: readPort(detail.controlPort),
+		region: readName(names[detail.region - 1]),
+		failureDomain: readName(names[detail.failureDomain - 1]),
+		service,
+		slots: detail.slots,
+		revision,
+	};
+	return joinRecord(member, detailRevision, standing);
+}
+
+/**
+ * Checks a name.
+ *
+ * @param name what arrived
+ * @returns the name; throws a RangeError when it is none
+ */
+export function readName(name: string | undefined): string {
+	if (name === undefined || name === '' || name.length > maximumNameLength) {
+		throw new RangeError('name is missing, empty or too long');
+	}
+
+	return name;
+}
+
+function readPort(port: number): number {
+	if (port > maximumPort) {
+		throw new RangeError('port is out of range');
+	}
+
+	return port;
+}
+
+function readStatus(code: number): MemberStatus {
+	const status = statuses[code];
+	if (status === undefined) {
+		throw new RangeError('status is unknown');
+	}
+
+	return status;
+}
