Add the open-loop load tool: experiments in YAML, seeded schedules, corrected latency, reports

Trials need a load that does not thin when answers get slow. Arrivals are fixed by the seed before the first request goes out; latency runs from the intended time of sending; requests over the bound on requests in flight are counted as skipped, not sent late unseen. Each request is unique by id and body, so that answers of another request are counted as wrong.

The tool is bounded in rate and time by its schema.

--- /dev/null
+++ b/src/load/run.ts
@@ -0,0 +1,148 @@
+/**
+ * Runs an experiment in an open loop: requests go out when the schedule says so, however slow
+ * the answers are.
+ */
+import {Agent} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Experiment} from './experiment.js';
+import {createRecorder, type Recorder, type StreamSummary} from './recorder.js';
+import {scheduleArrivals, type Arrival} from './schedule.js';
+import {sendShot} from './sender.js';
+
+const tickMilliseconds = 1;
+const millisecondsPerSecond = 1000;
+
+/** What an experiment showed. */
+export type RunReport = {
+	readonly experiment: Experiment;
+	/** Wall clock at the start, ISO 8601. */
+	readonly startedAt: string;
+	/** Time from the start to the last answer. */
+	readonly elapsedSeconds: number;
+	/** Worst delay of the tool itself between the intended and the true sending of a request. */
+	readonly worstSendDelayMilliseconds: number;
+	readonly streams: readonly StreamSummary[];
+};
+
+type Target = {readonly host: string; readonly port: number; readonly agent: Agent};
+
+type RunState = {
+	readonly experiment: Experiment;
+	readonly targets: readonly Target[];
+	readonly recorders: readonly Recorder[];
+	readonly startedAt: number;
+	readonly pending: Set<Promise<void>>;
+	/** Names the run in its request ids, so that two runs share no key. */
+	readonly runName: string;
+	nextTarget: number;
+	worstSendDelay: number;
+};
+
+/**
+ * Runs an experiment.
+ *
+ * @param experiment what to send
+ * @param signal ends the sending early
+ * @returns what it showed
+ */
+export async function runExperiment(
+	experiment: Experiment,
+	signal?: AbortSignal,
+): Promise<RunReport> {
+	const wallClock = new Date();
+	const state: RunState = {
+		experiment,
+		targets: experiment.targets.map(target =>
+			createTarget(target, experiment.maximumInFlight),
+		),
+		recorders: experiment.streams.map(stream =>
+			createRecorder(stream.name, stream.deadlineMilliseconds),
+		),
+		startedAt: performance.now(),
+		pending: new Set(),
+		runName: `${experiment.name}-${wallClock.getTime().toString(36)}`,
+		nextTarget: 0,
+		worstSendDelay: 0,
+	};
+	await sendAll(state, signal);
+	await Promise.all(state.pending);
+	for (const target of state.targets) {
+		target.agent.destroy();
+	}
+
+	return {
+		experiment,
+		startedAt: wallClock.toISOString(),
+		elapsedSeconds: (performance.now() - state.startedAt) / millisecondsPerSecond,
+		worstSendDelayMilliseconds: state.worstSendDelay,
+		streams: state.recorders.map(recorder => recorder.summarize()),
+	};
+}
+
+function createTarget(address: string, maximumSockets: number): Target {
+	const separator = address.lastIndexOf(':');
+	return {
+		host: address.slice(0, separator).replaceAll(/^\[|\]$/gv, ''),
+		port: Number(address.slice(separator + 1)),
+		agent: new Agent({keepAlive: true, maxSockets: maximumSockets}),
+	};
+}
+
+async function sendAll(state: RunState, signal?: AbortSignal): Promise<void> {
+	for (const arrival of scheduleArrivals(state.experiment)) {
+		while (arrival.at > performance.now() - state.startedAt) {
+			if (signal?.aborted === true) {
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- Requests go out in the order of time.
+			await sleep(tickMilliseconds);
+		}
+
+		send(state, arrival);
+	}
+}
+
+function send(state: RunState, arrival: Arrival): void {
+	const {experiment, pending} = state;
+	const isRecorded = arrival.at >= experiment.warmUpSeconds * millisecondsPerSecond;
+	const recorder = state.recorders[arrival.stream]!;
+	if (pending.size >= experiment.maximumInFlight) {
+		recorder.countSkipped();
+		return;
+	}
+
+	if (isRecorded) {
+		recorder.countSent();
+		const delay = performance.now() - state.startedAt - arrival.at;
+		state.worstSendDelay = Math.max(state.worstSendDelay, delay);
+	}
+
+	const shot = shoot(state, arrival, isRecorded ? recorder : undefined);
+	pending.add(shot);
+	void shot.finally(() => {
+		pending.delete(shot);
+	});
+}
+
+async function shoot(
+	state: RunState,
+	arrival: Arrival,
+	recorder: Recorder | undefined,
+): Promise<void> {
+	const stream = state.experiment.streams[arrival.stream]!;
+	const target = state.targets[state.nextTarget % state.targets.length]!;
+	state.nextTarget += 1;
+	const result = await sendShot({
+		...target,
+		stream,
+		requestId: `${state.runName}-${arrival.stream}-${arrival.number}`,
+		caller: `${stream.name}-${arrival.number % stream.callers}`,
+	});
+	recorder?.record({
+		...result,
+		intendedAt: arrival.at,
+		endedAt: performance.now() - state.startedAt,
+	});
+}
--- a/stand-ins/server/server.ts
+++ b/stand-ins/server/server.ts
@@ -10,7 +10,7 @@
 } from 'node:http';
 import {once} from 'node:events';
 import {Buffer} from 'node:buffer';
-import {unsafeUniformIntDistribution, xoroshiro128plus} from 'pure-rand';
+import {createRandom} from '../../src/load/random.js';
 import {createAnnouncer, type Announcement, type Announcer} from './announcer.js';
 import {createFaults, faultsSchema, type ServerOptions} from './behaviour.js';
 import {createJournal} from './journal.js';
@@ -18,7 +18,6 @@
 import {createSlots} from './slots.js';
 
 const controlPrefix = '/stand-in/';
-const largestRandom = 0x7f_ff_ff_ff;
 
 /** A running stand-in server. */
 export type StandInServer = {
@@ -74,12 +73,6 @@
 	return typeof address === 'object' && address !== null ? address.port : 0;
 }
 
-function createRandom(seed: number): () => number {
-	const generator = xoroshiro128plus(seed);
-	return () =>
-		unsafeUniformIntDistribution(0, largestRandom - 1, generator) / largestRandom;
-}
-
 /** Gives the announcement to send, true or false as the faults want it. */
 function createDescription(
 	context: RunContext,
--- /dev/null
+++ b/test/load/experiment.test.ts
@@ -0,0 +1,113 @@
+/** The load tool: experiments are checked whole, schedules repeat, counts and latency are true. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {
+	findTargetsBeyondLoopback,
+	formatPage,
+	formatTable,
+	parseExperiment,
+	runExperiment,
+	scheduleArrivals,
+	type Experiment,
+} from '../../src/load/index.js';
+import {startStandInServer} from '../../stand-ins/server/server.js';
+
+const text = `
+name: small
+seed: 3
+durationSeconds: 1
+targets: ['127.0.0.1:1']
+streams:
+  - name: urgent
+    service: booking
+    ratePerSecond: 100
+    changes: [{atSeconds: 0.5, ratePerSecond: 400}]
+  - name: browsing
+    service: proofs
+    ratePerSecond: 50
+    arrivals: uniform
+`;
+
+function readExperiment(changes: Partial<Experiment> = {}): Experiment {
+	const experiment = parseExperiment(text)._unsafeUnwrap();
+	return {...experiment, ...changes};
+}
+
+test('every fault of an experiment is found at once, with its line', () => {
+	const faulty =
+		'name: x\nseed: -1\ndurationSeconds: 1e9\ntargets: [here]\nspeed: 3\nstreams: []\n';
+	const faults = parseExperiment(faulty)._unsafeUnwrapErr();
+	expect(faults.map(({line, place}) => `${line} ${place}`)).toEqual([
+		'2 seed',
+		'3 durationSeconds',
+		'4 targets.0',
+		'5 speed',
+		'6 streams',
+	]);
+});
+
+test('any text is read as an experiment or refused with faults, without an exception', () => {
+	const property = fc.property(fc.string({unit: 'grapheme'}), sample => {
+		const result = parseExperiment(sample);
+		return result.isOk() || result.error.length > 0;
+	});
+	fc.assert(property, {seed: 50, numRuns: 300});
+});
+
+test('a schedule repeats from its seed, is in order of time and keeps its rates', () => {
+	const experiment = readExperiment({durationSeconds: 10});
+	const arrivals = [...scheduleArrivals(experiment)];
+	expect([...scheduleArrivals(experiment)]).toEqual(arrivals);
+	expect(arrivals.map(({at}) => at)).toEqual(
+		arrivals.map(({at}) => at).toSorted((a, b) => a - b),
+	);
+	const urgent = arrivals.filter(({stream}) => stream === 0);
+	expect(Math.abs(urgent.length - 3850)).toBeLessThan(250);
+	expect(arrivals.length - urgent.length).toEqual(499);
+});
+
+const targetCases: ReadonlyArray<readonly [string, boolean]> = [
+	['127.0.0.1:80', false],
+	['localhost:80', false],
+	['[::1]:80', false],
+	['10.0.0.1:80', true],
+	['127.0.0.1.example.org:80', true],
+];
+
+for (const [target, isBeyond] of targetCases) {
+	test(`${target} is ${isBeyond ? 'beyond' : 'on'} loopback`, () => {
+		expect(findTargetsBeyondLoopback([target]).length).toEqual(isBeyond ? 1 : 0);
+	});
+}
+
+test('each request is counted once, latency includes the wait, and the reports show it', async context => {
+	const server = await startStandInServer({
+		host: '127.0.0.1',
+		port: 0,
+		service: 'booking',
+		name: 'server-1',
+		slots: 1,
+		queueLength: 0,
+		serviceTimeMilliseconds: 15,
+		distribution: 'fixed',
+		seed: 1,
+		coldStartMilliseconds: 0,
+		coldStartFactor: 1,
+	});
+	context.after(async () => server.stop());
+	const report = await runExperiment(
+		readExperiment({targets: [`127.0.0.1:${server.port}`]}),
+	);
+	const arrivals = [...scheduleArrivals(report.experiment)].length;
+	const {journal} = server.context;
+	const sum = (read: (stream: (typeof report.streams)[number]) => number): number =>
+		report.streams.reduce((total, stream) => total + read(stream), 0);
+	expect(sum(({sent}) => sent)).toEqual(arrivals);
+	expect(sum(({ran, notRun, unknown}) => ran + notRun + unknown)).toEqual(arrivals);
+	expect(sum(({ran}) => ran)).toEqual(journal.entries.length);
+	expect(sum(({wrong}) => wrong)).toEqual(0);
+	expect(report.streams[0]!.latency.p50).toBeGreaterThanOrEqual(14);
+	expect(formatTable(report)).toInclude('urgent');
+	expect(formatPage(report)).toInclude('<polyline');
+});
