--- /dev/null
+++ b/test/binding/ledger.test.ts
@@ -0,0 +1,230 @@
+/** The rules of the ledger: a key runs once, and memory is bounded without forgetting one. */
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {
+	beginClosing,
+	claimKey,
+	claimKinds,
+	createLedger,
+	decodeClosing,
+	encodeClosing,
+	fateOfKey,
+	fates,
+	finishClosing,
+	markAnswered,
+	markDispatched,
+	markLost,
+	markNotRun,
+	type ClaimKind,
+	type KeptAnswer,
+	type Ledger,
+} from '../../src/binding/index.js';
+
+const limits = {keys: 2, bodyBytes: 100, bodyBytesPerKey: 60};
+const request = {keyId: 'k', fingerprint: 'f', expiresAt: 1000};
+const answer: KeptAnswer = {status: 201, headers: {}, body: Buffer.from('booked')};
+const home = {nodeId: 'north-1', incarnation: 'k3Yw'};
+
+type Case = {
+	readonly name: string;
+	readonly before?: (ledger: Ledger) => void;
+	readonly claim: ClaimKind;
+	readonly now?: number;
+	readonly fingerprint?: string;
+};
+
+const run = (ledger: Ledger) => {
+	claimKey(ledger, request, 0);
+	markDispatched(ledger, 'k');
+};
+
+const answerIt = (ledger: Ledger) => {
+	run(ledger);
+	markAnswered(ledger, 'k', answer);
+};
+
+const fill = (ledger: Ledger) => {
+	claimKey(ledger, {...request, keyId: 'x', expiresAt: 500}, 0);
+	claimKey(ledger, {...request, keyId: 'y'}, 0);
+	markAnswered(ledger, 'x', answer);
+};
+
+const cases: readonly Case[] = [
+	{name: 'new', claim: claimKinds.run},
+	{name: 'running', before: run, claim: claimKinds.join},
+	{name: 'answered', before: answerIt, claim: claimKinds.answered},
+	{
+		name: 'running with another request',
+		before: run,
+		claim: claimKinds.conflict,
+		fingerprint: 'g',
+	},
+	{
+		name: 'answered with another request',
+		before: answerIt,
+		claim: claimKinds.conflict,
+		fingerprint: 'g',
+	},
+	{
+		name: 'lost',
+		before(ledger) {
+			run(ledger);
+			markLost(ledger, 'k');
+		},
+		claim: claimKinds.unknown,
+	},
+	{
+		name: 'lost and then reported as not run',
+		before(ledger) {
+			run(ledger);
+			markLost(ledger, 'k');
+			markNotRun(ledger, 'k');
+		},
+		claim: claimKinds.unknown,
+	},
+	{
+		name: 'proven not run',
+		before(ledger) {
+			run(ledger);
+			markNotRun(ledger, 'k');
+		},
+		claim: claimKinds.run,
+	},
+	{name: 'expired', claim: claimKinds.expired, now: 1000},
+	{
+		name: 'expired and the wall clock goes back',
+		before(ledger) {
+			claimKey(ledger, request, 1000);
+		},
+		claim: claimKinds.expired,
+		now: 10,
+	},
+	{
+		name: 'expired but still known',
+		before: answerIt,
+		claim: claimKinds.answered,
+		now: 2000,
+	},
+	{name: 'new to a full ledger', before: fill, claim: claimKinds.full, now: 499},
+	{
+		name: 'new to a ledger whose oldest key has expired',
+		before: fill,
+		claim: claimKinds.run,
+		now: 500,
+	},
+	{name: 'new to a closing ledger', before: beginClosing, claim: claimKinds.closing},
+	{
+		name: 'new to a closed ledger',
+		before(ledger) {
+			beginClosing(ledger);
+			finishClosing(ledger, 0);
+		},
+		claim: claimKinds.closed,
+	},
+	{
+		name: 'answered in a closed ledger',
+		before(ledger) {
+			answerIt(ledger);
+			beginClosing(ledger);
+			finishClosing(ledger, 0);
+		},
+		claim: claimKinds.answered,
+	},
+];
+
+for (const row of cases) {
+	test(`a key that is ${row.name}: ${row.claim}`, () => {
+		const ledger = createLedger(limits);
+		row.before?.(ledger);
+		const fingerprint = row.fingerprint ?? request.fingerprint;
+		const claim = claimKey(ledger, {...request, fingerprint}, row.now ?? 0);
+		expect(claim.kind).toEqual(row.claim);
+	});
+}
+
+test('a body beyond the bounds is left out, the rest of the answer is kept', () => {
+	const ledger = createLedger(limits);
+	run(ledger);
+	markAnswered(ledger, 'k', {...answer, body: Buffer.alloc(61)});
+	const claim = claimKey(ledger, request, 0);
+	expect(claim).toEqual({
+		kind: claimKinds.answered,
+		answer: {...answer, body: undefined},
+	});
+});
+
+test('a ledger closes only when nothing runs, and its summary tells each key apart', () => {
+	const ledger = createLedger();
+	answerIt(ledger);
+	claimKey(ledger, {...request, keyId: 'lost'}, 0);
+	beginClosing(ledger);
+	expect(finishClosing(ledger, 0)).toEqual(undefined);
+	markLost(ledger, 'lost');
+	const keys = finishClosing(ledger, 900);
+	const closing = decodeClosing(encodeClosing(home, keys!));
+	const fate = (keyId: string, expiresAt = 1000) =>
+		fateOfKey({keyId, expiresAt}, closing);
+	expect(fate('k')).toEqual(fates.ran);
+	expect(fate('lost')).toEqual(fates.unknown);
+	expect(fate('other')).toEqual(fates.notRun);
+	expect(fate('expired and perhaps forgotten', 900)).toEqual(fates.unknown);
+	expect(fateOfKey(request, undefined)).toEqual(fates.unknown);
+});
+
+test('a damaged summary is none', () => {
+	for (const text of ['', 'AAAA', 'not a summary', '/////w==']) {
+		expect(decodeClosing(text)).toEqual(undefined);
+	}
+});
+
+const step = fc.record({
+	kind: fc.constantFrom('claim', 'dispatch', 'answer', 'notRun', 'lose', 'tick'),
+	key: fc.integer({min: 0, max: 2}),
+	time: fc.integer({min: -200, max: 200}),
+});
+
+test('no key runs twice in a ledger of any size, whatever the wall clock does', () => {
+	const property = fc.property(
+		fc.integer({min: 1, max: 2}),
+		fc.array(step, {maxLength: 80, size: 'max'}),
+		(keys, steps) => {
+			const ledger = createLedger({...limits, keys});
+			const ran = new Set<string>();
+			let now = 0;
+			for (const {kind, key, time} of steps) {
+				const keyId = String(key);
+				now += kind === 'tick' ? time : 0;
+				const expiresAt = 100 * (key + 1);
+				if (
+					kind === 'claim' &&
+					claimKey(ledger, {...request, keyId, expiresAt}, now).kind === 'run'
+				) {
+					expect(ran.has(keyId)).toEqual(false);
+				}
+
+				const isRunning = ledger.entries.get(keyId)?.state === 'claimed';
+				if (kind === 'dispatch' && isRunning) {
+					markDispatched(ledger, keyId);
+					ran.add(keyId);
+				}
+
+				if (kind === 'answer') {
+					markAnswered(ledger, keyId, answer);
+				}
+
+				if (kind === 'lose') {
+					markLost(ledger, keyId);
+				}
+
+				if (kind === 'notRun' && !ran.has(keyId)) {
+					markNotRun(ledger, keyId);
+				}
+
+				expect(ledger.entries.size <= keys).toEqual(true);
+			}
+		},
+	);
+	fc.assert(property, {seed: 20_261_204, numRuns: 2000});
+});
