Choose servers by aged load, and bound what measuring and extra attempts cost

Reports of load are always old, some are false, and asking for fresh ones costs traffic. A node keeps its own count of requests in flight and takes over what gates report on their answers; a report counts less with its age, with every answer it foretold badly, when it contradicts the own count and when it stands still. Near servers with a free slot go by estimated latency; far ones only when near ones are full, within a budget in bytes that leaves urgent ranks their part. Outliers are ejected up to a share, tried and readmitted; errors never make a server look quick. Random, round robin, own least in flight and two choices on reports stand beside it as baselines.

Retries and hedges come from shares of first attempts.

--- /dev/null
+++ b/src/routing/learning.ts
@@ -0,0 +1,147 @@
+/**
+ * What a view learns from the requests that it sends and the answers that come back. Only good
+ * answers teach latency, so that a server which fails at once never looks quick.
+ */
+import {attemptEnds, type AttemptResult} from './attempt.js';
+import {judgeTrial} from './ejection.js';
+import {type LoadReport} from './load-report.js';
+import {type ServerView, type ServiceView} from './view.js';
+
+const latencyWeight = 0.2;
+const typicalLatencyWeight = 0.02;
+const typicalLoadWeight = 0.02;
+const failureWeight = 0.1;
+const trustGain = 0.05;
+const trustLossFactor = 0.8;
+/** How far an answer may be from what the report foretold before the report loses weight. */
+const foretoldFactor = 3;
+const foretoldSlackMilliseconds = 2;
+/** Reports alike in a row, while this node's own count moved, that count as frozen. */
+const frozenReports = 6;
+/** Requests still on the path that a gate can't have counted yet. */
+const pathSlackRequests = 2;
+
+/**
+ * Counts a request that is sent to a server.
+ *
+ * @param server changed in place
+ * @param now monotonic time in milliseconds
+ */
+export function recordSent(server: ServerView, now: number): void {
+	if (server.ownInFlight === 0) {
+		server.silentSince = now;
+	}
+
+	server.ownInFlight += 1;
+}
+
+/**
+ * Learns from the end of an attempt. Call it once for each `recordSent`.
+ *
+ * @param service changed in place
+ * @param server changed in place
+ * @param result what came back
+ * @param now monotonic time in milliseconds
+ */
+export function recordResult(
+	service: ServiceView,
+	server: ServerView,
+	result: AttemptResult,
+	now: number,
+): void {
+	if (result.end === attemptEnds.answered) {
+		judgeReport(server, result.latencyMilliseconds);
+		learnLatency(service, server, result.latencyMilliseconds);
+	}
+
+	if (result.end === attemptEnds.answered || result.end === attemptEnds.failed) {
+		const failed = result.end === attemptEnds.failed ? 1 : 0;
+		server.failureShare += (failed - server.failureShare) * failureWeight;
+		server.samples += 1;
+	}
+
+	judgeTrial(server, result.end, now);
+	if (result.end !== attemptEnds.abandoned) {
+		server.silentSince = now;
+		server.lastAnswerAt = now;
+	}
+
+	if (result.report !== undefined) {
+		takeReport(service, server, result.report, now);
+	}
+
+	server.ownInFlight = Math.max(0, server.ownInFlight - 1);
+}
+
+/**
+ * Takes over a report, from an answer or from the reply to a probe.
+ *
+ * @param service changed in place
+ * @param server changed in place
+ * @param report the load
+ * @param now monotonic time in milliseconds
+ */
+export function takeReport(
+	service: ServiceView,
+	server: ServerView,
+	report: LoadReport,
+	now: number,
+): void {
+	const isAlike = server.report !== undefined && areAlike(server.report, report);
+	const hasMoved = server.ownInFlight !== server.ownInFlightAtReport;
+	if (!isAlike) {
+		server.unchangedReports = 0;
+	} else if (hasMoved) {
+		server.unchangedReports += 1;
+	}
+
+	const isFrozen = server.unchangedReports >= frozenReports;
+	const reported = report.inFlight + report.queued;
+	const isBelowOwn = reported + pathSlackRequests < server.ownInFlight;
+	if (isFrozen || isBelowOwn) {
+		server.trust *= trustLossFactor;
+	}
+
+	server.report = report;
+	server.reportedAt = now;
+	server.ownInFlightAtReport = server.ownInFlight;
+	const load = reported / Math.max(1, report.slots);
+	service.typicalLoad += (load - service.typicalLoad) * typicalLoadWeight;
+}
+
+/** A report gains weight when the answer came as it foretold, and loses weight otherwise. */
+function judgeReport(server: ServerView, latencyMilliseconds: number): void {
+	if (server.report === undefined) {
+		return;
+	}
+
+	const {inFlight, queued, serviceMilliseconds, slots} = server.report;
+	const rounds = Math.max(1, (inFlight + queued) / Math.max(1, slots));
+	const foretold = serviceMilliseconds * rounds + foretoldSlackMilliseconds;
+	const isFar =
+		latencyMilliseconds > foretold * foretoldFactor ||
+		latencyMilliseconds * foretoldFactor < foretold;
+	server.trust = isFar
+		? server.trust * trustLossFactor
+		: server.trust + (1 - server.trust) * trustGain;
+}
+
+function learnLatency(
+	service: ServiceView,
+	server: ServerView,
+	latencyMilliseconds: number,
+): void {
+	const weight = server.samples === 0 ? 1 : latencyWeight;
+	server.latencyMilliseconds +=
+		(latencyMilliseconds - server.latencyMilliseconds) * weight;
+	service.typicalLatencyMilliseconds +=
+		(latencyMilliseconds - service.typicalLatencyMilliseconds) * typicalLatencyWeight;
+}
+
+function areAlike(one: LoadReport, other: LoadReport): boolean {
+	return (
+		one.inFlight === other.inFlight &&
+		one.queued === other.queued &&
+		one.serviceMilliseconds === other.serviceMilliseconds
+	);
+}
--- /dev/null
+++ b/src/routing/policy.ts
@@ -0,0 +1,34 @@
+/** What a preset says about the choice of a server. */
+
+/** How a server is chosen. All but `adaptive` are baselines to compare with. */
+export const choices = {
+	/** Any server. */
+	random: 'random',
+	/** One after the other. */
+	roundRobin: 'roundRobin',
+	/** The server with the fewest requests in flight from this node. */
+	leastInFlight: 'leastInFlight',
+	/** The better of two random servers by their last reports. */
+	twoChoicesOnReports: 'twoChoicesOnReports',
+	/** Near servers with a free slot by estimated latency; far ones when these are full. */
+	adaptive: 'adaptive',
+} as const;
+
+export type Choice = (typeof choices)[keyof typeof choices];
+
+/** The routing part of a preset. */
+export type RoutingPolicy = {
+	readonly choice: Choice;
+	/** Servers that each choice compares. */
+	readonly candidates: number;
+	/** Largest share of a service's servers, 0 to 1, that may be ejected at once. */
+	readonly ejectionShare: number;
+	/** Retries allowed as a share of first attempts, 0 to 1. */
+	readonly retryShare: number;
+	/** Hedges allowed as a share of first attempts, 0 to 1. */
+	readonly hedgeShare: number;
+	/** Quantile of the latency, 0 to 1, after which a call may be hedged. */
+	readonly hedgeQuantile: number;
+	/** Bytes that a node may send to other regions in any second. */
+	readonly crossRegionBytesPerSecond: number;
+};
--- /dev/null
+++ b/test/routing/choose.test.ts
@@ -0,0 +1,250 @@
+/** The rules of the choice of a server. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {
+	arrangeService,
+	attemptEnds,
+	choices,
+	chooseServer,
+	createLoadView,
+	findServer,
+	recordResult,
+	recordSent,
+	takeReport,
+	type LoadReport,
+	type LoadView,
+	type ServiceView,
+} from '../../src/routing/index.js';
+import {createCandidates, createRandom, createRequest, place, policy} from './support.js';
+
+const seed = 20_261_204;
+const full: LoadReport = {inFlight: 10, queued: 5, serviceMilliseconds: 10, slots: 10};
+const calm: LoadReport = {inFlight: 1, queued: 0, serviceMilliseconds: 10, slots: 10};
+
+function createMesh(near: number, far: number): {view: LoadView; service: ServiceView} {
+	const view = createLoadView(place);
+	const candidates = [
+		...createCandidates(near),
+		...createCandidates(far, 'island', 'far'),
+	];
+	return {view, service: arrangeService(view, 'booking', candidates, 0)};
+}
+
+function report(service: ServiceView, nodeId: string, load: LoadReport, now = 0): void {
+	takeReport(service, findServer(service, nodeId)!, load, now);
+}
+
+/** Chooses many times and counts what each server got; each answer comes back at once. */
+function countChoices(
+	mesh: {view: LoadView; service: ServiceView},
+	times: number,
+	change: Parameters<typeof createRequest>[0] = {},
+): Map<string, number> {
+	const counts = new Map<string, number>();
+	const request = createRequest(change);
+	for (let index = 0; index < times; index += 1) {
+		const server = chooseServer(mesh.view, mesh.service, request, 1);
+		const name = server?.nodeId ?? 'none';
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
+test('a near server with a free slot goes before any far one', () => {
+	const mesh = createMesh(3, 3);
+	report(mesh.service, 'near-0', full);
+	report(mesh.service, 'near-1', full);
+	report(mesh.service, 'near-2', calm);
+	expect([...countChoices(mesh, 100).keys()]).toEqual(['near-2']);
+});
+
+test('far servers are used when near ones are full, up to the budget in bytes', () => {
+	const mesh = createMesh(2, 2);
+	report(mesh.service, 'near-0', full);
+	report(mesh.service, 'near-1', full);
+	report(mesh.service, 'far-0', calm);
+	report(mesh.service, 'far-1', calm);
+	const counts = countChoices(mesh, 100);
+	const far = (counts.get('far-0') ?? 0) + (counts.get('far-1') ?? 0);
+	expect(far).toEqual(policy.crossRegionBytesPerSecond / 1000);
+});
+
+const rankCases = [
+	{rankIndex: 0, far: 10},
+	{rankIndex: 1, far: 6},
+	{rankIndex: 2, far: 3},
+];
+
+for (const row of rankCases) {
+	test(`rank ${row.rankIndex} leaves more urgent ranks their part of the paid budget`, () => {
+		const mesh = createMesh(0, 2);
+		const counts = countChoices(mesh, 50, {rankIndex: row.rankIndex});
+		expect(50 - (counts.get('none') ?? 0)).toEqual(row.far);
+	});
+}
+
+test('of near servers with free slots the faster one is chosen', () => {
+	const mesh = createMesh(2, 0);
+	report(mesh.service, 'near-0', {...calm, serviceMilliseconds: 50});
+	report(mesh.service, 'near-1', calm);
+	expect([...countChoices(mesh, 20).keys()]).toEqual(['near-1']);
+});
+
+test('a server that fails at once gets no more than its fair share', () => {
+	const mesh = createMesh(4, 0);
+	const random = createRandom(11);
+	const sent = new Map<string, number>();
+	for (let now = 0; now < 4000; now += 1) {
+		const request = createRequest({random});
+		const server = chooseServer(mesh.view, mesh.service, request, now)!;
+		sent.set(server.nodeId, (sent.get(server.nodeId) ?? 0) + 1);
+		recordSent(server, now);
+		const isFailing = server.nodeId === 'near-0';
+		recordResult(
+			mesh.service,
+			server,
+			isFailing
+				? {
+						end: attemptEnds.failed,
+						latencyMilliseconds: 1,
+						report: {...calm, inFlight: 0},
+					}
+				: {end: attemptEnds.answered, latencyMilliseconds: 10, report: calm},
+			now,
+		);
+	}
+
+	expect(sent.get('near-0') ?? 0).toBeLessThanOrEqual(1000);
+});
+
+test('a server that answers nothing loses new requests before its next report', () => {
+	const mesh = createMesh(2, 0);
+	report(mesh.service, 'near-0', {...calm, inFlight: 0});
+	report(mesh.service, 'near-1', calm);
+	recordSent(findServer(mesh.service, 'near-0')!, 1);
+	const server = chooseServer(mesh.view, mesh.service, createRequest(), 90);
+	expect(server?.nodeId).toEqual('near-1');
+});
+
+test('a report that lies against the own count loses weight', () => {
+	const mesh = createMesh(1, 0);
+	const server = findServer(mesh.service, 'near-0')!;
+	for (let copy = 0; copy < 8; copy += 1) {
+		recordSent(server, 0);
+	}
+
+	const before = server.trust;
+	report(mesh.service, 'near-0', {...calm, inFlight: 0});
+	expect(server.trust).toBeLessThan(before);
+});
+
+test('a report that never changes while requests come and go loses weight', () => {
+	const mesh = createMesh(1, 0);
+	const server = findServer(mesh.service, 'near-0')!;
+	const before = server.trust;
+	for (let copy = 0; copy < 12; copy += 1) {
+		recordSent(server, 0);
+		report(mesh.service, 'near-0', {...calm, inFlight: 20});
+	}
+
+	expect(server.trust).toBeLessThan(before / 2);
+});
+
+test('a server that joins later starts with a small share', () => {
+	const view = createLoadView(place);
+	arrangeService(view, 'booking', createCandidates(3), 0);
+	const service = arrangeService(view, 'booking', createCandidates(4), 1000);
+	const request = createRequest({random: createRandom(3)});
+	let chosen = 0;
+	for (let index = 0; index < 1000; index += 1) {
+		chosen += chooseServer(view, service, request, 1001)?.nodeId === 'near-3' ? 1 : 0;
+	}
+
+	expect(chosen).toBeGreaterThan(0);
+	expect(chosen).toBeLessThan(150);
+});
+
+test('no choice returns an excluded server, and one that is left is found', () => {
+	fc.assert(
+		fc.property(
+			fc.integer({min: 1, max: 8}),
+			fc.array(fc.nat(7)),
+			fc.constantFrom(...Object.values(choices)),
+			fc.integer(),
+			(count, excludedIndexes, choice, randomSeed) => {
+				const mesh = createMesh(count, 0);
+				const excluded = new Set(excludedIndexes.map(index => `near-${index}`));
+				const request = createRequest({
+					policy: {...policy, choice},
+					excluded,
+					random: createRandom(randomSeed),
+				});
+				const server = chooseServer(mesh.view, mesh.service, request, 1);
+				const left = mesh.service.servers.filter(one => !excluded.has(one.nodeId));
+				expect(server === undefined).toEqual(left.length === 0);
+				expect(server !== undefined && excluded.has(server.nodeId)).toEqual(false);
+			},
+		),
+		{seed, numRuns: 300},
+	);
+});
+
+test('never more than the set share of servers is ejected', () => {
+	const step = fc.record({
+		bad: fc.nat(9),
+		latency: fc.integer({min: 1, max: 500}),
+		end: fc.constantFrom(...Object.values(attemptEnds)),
+		waited: fc.nat(400),
+	});
+	fc.assert(
+		fc.property(
+			fc.integer({min: 1, max: 10}),
+			fc.integer({min: 0, max: 100}),
+			fc.array(step, {maxLength: 200}),
+			(count, percent, steps) => {
+				const mesh = createMesh(count, 0);
+				const share = percent / 100;
+				const random = createRandom(count);
+				const request = createRequest({
+					policy: {...policy, ejectionShare: share},
+					random,
+				});
+				let now = 0;
+				for (const {bad, latency, end, waited} of steps) {
+					now += waited;
+					const server = chooseServer(mesh.view, mesh.service, request, now)!;
+					const isBad = server.nodeId === `near-${bad}`;
+					const result = isBad
+						? {end, latencyMilliseconds: latency}
+						: {end: attemptEnds.answered, latencyMilliseconds: 5};
+					recordSent(server, now);
+					recordResult(mesh.service, server, result, now);
+					const ejected = mesh.service.servers.filter(
+						one => one.standing.ejectedUntil !== undefined,
+					);
+					expect(ejected.length).toBeLessThanOrEqual(Math.floor(count * share));
+				}
+			},
+		),
+		{seed, numRuns: 200},
+	);
+});
+
+test('an ejected server is tried again after its time and readmitted by a good answer', () => {
+	const mesh = createMesh(4, 0);
+	const bad = findServer(mesh.service, 'near-0')!;
+	for (let copy = 0; copy < 20; copy += 1) {
+		recordSent(bad, 0);
+		recordResult(mesh.service, bad, {end: attemptEnds.failed, latencyMilliseconds: 1}, 0);
+	}
+
+	expect(countChoices(mesh, 200).has('near-0')).toEqual(false);
+	expect(bad.standing.ejectedUntil).not.toEqual(undefined);
+	const later = bad.standing.ejectedUntil! + 1;
+	recordSent(bad, later);
+	const good = {end: attemptEnds.answered, latencyMilliseconds: 5};
+	recordResult(mesh.service, bad, good, later);
+	expect(bad.standing.ejectedUntil).toEqual(undefined);
+});
