--- /dev/null
+++ b/test/configuration/acceptance.test.ts
@@ -0,0 +1,90 @@
+/** Carrying a change through the table, under each fault of the table. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {acceptChange} from '../../src/configuration/acceptance.js';
+import type {Change} from '../../src/configuration/change.js';
+import {createDocumentText} from '../support/configuration.js';
+import {withTable} from '../support/table.js';
+
+const clock = () => Date.now();
+
+function createChange(changeId: string, expectedVersion?: number): Change {
+	const content = {kind: 'document', text: createDocumentText('darkrooms')} as const;
+	return {changeId, team: 'darkrooms', by: changeId, content, expectedVersion};
+}
+
+for (const presentVersion of [0, 1]) {
+	test(`of two operators at once one is accepted, from version ${presentVersion}`, async () => {
+		await withTable(async table => {
+			const options = {table, highestKnownVersion: 0, clock};
+			if (presentVersion === 1) {
+				await acceptChange(createChange('first', 0), options);
+			}
+
+			const answers = await Promise.all([
+				acceptChange(createChange('ada', presentVersion), options),
+				acceptChange(createChange('ben', presentVersion), options),
+			]);
+			const won = answers.find(answer => answer.isOk())?._unsafeUnwrap();
+			const lost = answers.find(answer => answer.isErr())?._unsafeUnwrapErr();
+			expect(won?.record.version).toEqual(presentVersion + 1);
+			expect(lost?.kind).toEqual('conflict');
+			expect(lost?.current?.changeId).toEqual(won?.record.changeId);
+		});
+	});
+}
+
+const faultCases = [
+	{
+		name: 'answer lost after the effect',
+		faults: {answersLost: {count: 1}, methods: ['PUT']},
+	},
+	{name: 'two answers lost', faults: {answersLost: {count: 2}, methods: ['PUT']}},
+	{
+		name: 'request lost before the effect',
+		faults: {requestsLost: {count: 1}, methods: ['PUT']},
+	},
+];
+
+for (const {name, faults} of faultCases) {
+	test(`a change is accepted once: ${name}`, async () => {
+		await withTable(async (table, setFaults) => {
+			const options = {table, highestKnownVersion: 0, clock};
+			await setFaults(faults);
+			const accepted = await acceptChange(createChange('ada', 0), options);
+			expect(accepted._unsafeUnwrap().record.version).toEqual(1);
+			const repeated = await acceptChange(createChange('ada', 0), options);
+			expect(repeated._unsafeUnwrap().record).toEqual(accepted._unsafeUnwrap().record);
+		});
+	});
+}
+
+test('while the table refuses, a change is refused and nothing changed', async () => {
+	await withTable(async (table, setFaults) => {
+		const options = {table, highestKnownVersion: 0, clock};
+		await setFaults({outage: 'refuses'});
+		const refused = await acceptChange(createChange('ada', 0), options);
+		expect(refused._unsafeUnwrapErr().kind).toEqual('store-unavailable');
+		await setFaults({});
+		const accepted = await acceptChange(createChange('ada', 0), options);
+		expect(accepted.isOk()).toEqual(true);
+	});
+});
+
+test('a change whose answers stay lost is unresolved until its id is asked again', async () => {
+	await withTable(async (table, setFaults) => {
+		let time = 0;
+		const advancing = () => {
+			time += 3000;
+			return time;
+		};
+
+		const options = {table, highestKnownVersion: 0, clock: advancing};
+		await setFaults({answersLost: {share: 1}, methods: ['PUT']});
+		const unresolved = await acceptChange(createChange('ada', 0), options);
+		expect(unresolved._unsafeUnwrapErr().kind).toEqual('unresolved');
+		await setFaults({});
+		const resolved = await acceptChange(createChange('ada', 0), options);
+		expect(resolved._unsafeUnwrap().record.version).toEqual(1);
+	});
+});
--- /dev/null
+++ b/test/configuration/change.test.ts
@@ -0,0 +1,91 @@
+/** Deciding a change: acceptance by id, conflicts, and whole refusals. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {decideChange, type Change} from '../../src/configuration/change.js';
+import type {StoredConfiguration} from '../../src/configuration/stored.js';
+import {createDocumentText} from '../support/configuration.js';
+
+const now = 1000;
+const text = createDocumentText('darkrooms');
+
+function createChange(changes: Partial<Change> = {}): Change {
+	const content = {kind: 'document', text} as const;
+	return {changeId: 'one', team: 'darkrooms', by: 'ada', content, ...changes};
+}
+
+function accept(
+	present: StoredConfiguration | undefined,
+	change: Change,
+): StoredConfiguration {
+	const decision = decideChange(present, change, 0, now)._unsafeUnwrap();
+	if (decision.kind !== 'write') {
+		throw new Error('expected a row to write');
+	}
+
+	return decision.next;
+}
+
+const first = accept(undefined, createChange());
+const switchToPeak = {kind: 'preset', preset: 'peak'} as const;
+
+test('each change takes the next version, above all that were heard of', () => {
+	expect(first.version).toEqual(1);
+	const second = accept(first, createChange({changeId: 'two', content: switchToPeak}));
+	expect(second.version).toEqual(2);
+	expect(second.history.map(record => record.changeId)).toEqual(['two', 'one']);
+	expect(second.history[0]?.inForce).toEqual('peak');
+	const recreated = decideChange(undefined, createChange(), 7, now)._unsafeUnwrap();
+	expect(recreated.kind === 'write' && recreated.next.version).toEqual(8);
+});
+
+test('a repeat of an accepted change is told the same acceptance, also after later ones', () => {
+	const second = accept(first, createChange({changeId: 'two', content: switchToPeak}));
+	const repeat = decideChange(second, createChange({expectedVersion: 0}), 0, now);
+	expect(repeat._unsafeUnwrap()).toEqual({kind: 'stands', record: first.history[0]!});
+});
+
+const refusals = [
+	{
+		name: 'made from an older version',
+		change: {changeId: 'two', expectedVersion: 0},
+		kind: 'conflict',
+	},
+	{
+		name: 'id of another change',
+		change: {content: switchToPeak},
+		kind: 'change-id-reused',
+	},
+	{
+		name: 'unknown preset',
+		change: {changeId: 'two', content: {kind: 'preset', preset: 'toString'}},
+		kind: 'unknown-preset',
+	},
+	{
+		name: 'faulty document',
+		change: {changeId: 'two', content: {kind: 'document', text: `${text}more: 1\n`}},
+		kind: 'invalid-document',
+	},
+	{
+		name: 'document of another team',
+		change: {
+			changeId: 'two',
+			content: {kind: 'document', text: createDocumentText('printers')},
+		},
+		kind: 'invalid-document',
+	},
+] as const;
+
+for (const {name, change, kind} of refusals) {
+	test(`a change is refused: ${name}`, () => {
+		const decision = decideChange(first, createChange(change), 0, now);
+		expect(decision._unsafeUnwrapErr().kind).toEqual(kind);
+	});
+}
+
+test('a switch without a configuration names the remedy', () => {
+	const decision = decideChange(undefined, createChange({content: switchToPeak}), 0, now);
+	expect(decision._unsafeUnwrapErr().kind).toEqual('no-configuration');
+	expect(decision._unsafeUnwrapErr().message.includes('apply a document first')).toEqual(
+		true,
+	);
+});
