Serve a call end to end: caller, ingress node, gate node, server

Cause: nothing ran yet. A node takes calls on its data listener, picks a member that serves the service, and hands the attempt to that member's gate, over HTTP or within the process when the gate is its own. The server beside a node announces itself on the local listener.

Outcomes are decided by a pure function: an answer is passed on only whole, a refusal is said to be not run only where no server received the request, and an earlier attempt that may have run keeps the call from being told not-run later. Large bodies wait for the gate's word (100-continue) and are streamed; small ones are held so that they can be sent again.

Members are fixed by the settings for now.

--- a/src/call/index.ts
+++ b/src/call/index.ts
@@ -1,4 +1,4 @@
-/** Public surface of the call: what is asked, and what a caller is told. */
+/** Public surface of the call: what is asked, tried, and told. */
 export {
 	formatAttemptId,
 	formatIngress,
@@ -19,5 +19,41 @@
 	type AttemptTable,
 	type Cancellation,
 } from './attempt-table.js';
+export {
+	attemptResultKinds,
+	isWhole,
+	type AttemptAnswered,
+	type AttemptLost,
+	type AttemptRefused,
+	type AttemptRequest,
+	type AttemptResult,
+	type Body,
+	type RunningAttempt,
+} from './attempt-request.js';
+export {
+	parseCallHead,
+	type CallHead,
+	type CallPolicy,
+	type ReceivedHead,
+} from './head.js';
+export {
+	copyEndToEndHeaders,
+	findHeader,
+	headerNames,
+	type HeaderList,
+} from './headers.js';
+export {
+	decideNextStep,
+	maximumAttempts,
+	nextStepKinds,
+	type CallProgress,
+	type NextStep,
+} from './next-step.js';
 export {outcomes, type Outcome} from './outcome.js';
-export {createRefusal, refusalKinds, type Refusal, type RefusalKind} from './refusal.js';
+export {
+	createRefusal,
+	parseRefusal,
+	refusalKinds,
+	type Refusal,
+	type RefusalKind,
+} from './refusal.js';
--- a/src/call/refusal.ts
+++ b/src/call/refusal.ts
@@ -3,6 +3,8 @@
  * that names the remedy. A refusal says nothing of the outcome by itself: the place that
  * refuses knows whether the request had been handed to a server.
  */
+import {z} from 'zod';
+
 export const refusalKinds = {
 	malformed: 'malformed',
 	unknownService: 'unknown-service',
@@ -58,6 +60,36 @@
 	[refusalKinds.notReady]: 503,
 };
 
+const refusalSchema = z.object({
+	kind: z.enum(refusalKinds),
+	message: z.string(),
+	retryAfterMilliseconds: z.number().optional(),
+});
+
+/**
+ * Reads a refusal that another node wrote.
+ *
+ * @param text JSON of a refusal
+ * @returns the refusal; text that is none becomes a refusal of kind `server-failed`
+ */
+export function parseRefusal(text: string): Refusal {
+	const parsed = refusalSchema.safeParse(parseJson(text));
+	if (!parsed.success) {
+		return createRefusal(refusalKinds.serverFailed, 'the node answered without a reason');
+	}
+
+	const {kind, message, retryAfterMilliseconds} = parsed.data;
+	return createRefusal(kind, message, retryAfterMilliseconds);
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
 /**
  * Creates a refusal.
  *
--- /dev/null
+++ b/src/log/index.ts
@@ -0,0 +1,8 @@
+/** Public surface of the logs. */
+export {
+	createLogger,
+	logFormats,
+	type LogFields,
+	type LogFormat,
+	type Logger,
+} from './log.js';
--- /dev/null
+++ b/src/node/announcements.ts
@@ -0,0 +1,158 @@
+/**
+ * The local listener: the server beside the node announces itself here, renews its lease, and
+ * says that it drains or leaves. A server whose lease lapses takes no new work until it renews.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {z} from 'zod';
+import type {LocalServer} from './gate.js';
+import {hasSmallBody, readSmallBody} from './request-body.js';
+
+export const serverHealths = {
+	serving: 'serving',
+	draining: 'draining',
+} as const;
+
+export type ServerHealth = (typeof serverHealths)[keyof typeof serverHealths];
+
+/** The announced server and until when it counts. */
+export type Announced = {
+	readonly server: LocalServer;
+	readonly health: ServerHealth;
+	/** Requests in flight by the server's own word. */
+	readonly reportedInFlight: number;
+	/** Milliseconds of the monotonic clock. */
+	readonly leaseUntil: number;
+};
+
+/** How long an announcement counts, in milliseconds. */
+export const announcementLeaseMilliseconds = 3000;
+
+const announcementSchema = z.strictObject({
+	name: z.string().min(1).max(128),
+	service: z
+		.string()
+		.max(128)
+		.regex(/^[\w.:@\-]+$/v),
+	host: z.union([z.ipv4(), z.ipv6()]),
+	port: z.int().min(1).max(65_535),
+	slots: z.int().min(1).max(100_000),
+	health: z.enum([serverHealths.serving, serverHealths.draining]),
+	load: z.strictObject({inFlight: z.int().min(0)}).optional(),
+});
+
+type AnnouncementOptions = {
+	/** Present time, milliseconds of the monotonic clock. */
+	readonly now: () => number;
+	readonly onChange: (announced: Announced | undefined) => void;
+};
+
+/** The local listener and its lease. */
+export type Announcements = {
+	readonly server: Server;
+	/** Takes the server away when its lease has lapsed; to be called now and then. */
+	readonly expire: () => void;
+	readonly current: () => Announced | undefined;
+};
+
+/**
+ * Creates the local listener.
+ *
+ * @param options clock, and what to call when the announced server changes
+ * @returns the listener, not yet bound
+ */
+export function createAnnouncements(options: AnnouncementOptions): Announcements {
+	let current: Announced | undefined;
+
+	function set(next: Announced | undefined): void {
+		current = next;
+		options.onChange(next);
+	}
+
+	function announce(body: Uint8Array, response: ServerResponse): void {
+		const parsed = parseAnnouncement(body, options.now());
+		if (typeof parsed === 'string') {
+			reply(response, 400, {kind: 'malformed', message: parsed});
+			return;
+		}
+
+		set(parsed);
+		reply(response, 200, {leaseMilliseconds: announcementLeaseMilliseconds});
+	}
+
+	function withdraw(name: string, response: ServerResponse): void {
+		if (current?.server.name !== name) {
+			reply(response, 404, {kind: 'unknown-server', message: `announce ${name} first`});
+			return;
+		}
+
+		set(undefined);
+		reply(response, 200, {});
+	}
+
+	function receive(request: IncomingMessage, response: ServerResponse): void {
+		const [, first, name] = request.url!.split('/');
+		if (first === 'announcements' && request.method === 'POST' && hasSmallBody(request)) {
+			readSmallBody(request, body => {
+				announce(body, response);
+			});
+			return;
+		}
+
+		if (first === 'announcements' && request.method === 'DELETE' && name) {
+			withdraw(decodeURIComponent(name), response);
+			return;
+		}
+
+		reply(response, 404, {
+			kind: 'unknown-path',
+			message: 'use POST /announcements or DELETE /announcements/NAME',
+		});
+	}
+
+	return {
+		server: createServer(receive),
+		expire() {
+			if (current && options.now() > current.leaseUntil) {
+				set(undefined);
+			}
+		},
+		current: () => current,
+	};
+}
+
+function parseAnnouncement(body: Uint8Array, now: number): Announced | string {
+	let json: unknown;
+	try {
+		json = JSON.parse(Buffer.from(body).toString('utf8'));
+	} catch {
+		return 'the announcement is not JSON: send one JSON object';
+	}
+
+	const parsed = announcementSchema.safeParse(json);
+	if (!parsed.success) {
+		return `correct the announcement: ${z.prettifyError(parsed.error)}`;
+	}
+
+	const {name, service, host, port, slots, health, load} = parsed.data;
+	return {
+		server: {name, service, host, port, slots},
+		health,
+		reportedInFlight: load?.inFlight ?? 0,
+		leaseUntil: now + announcementLeaseMilliseconds,
+	};
+}
+
+function reply(response: ServerResponse, status: number, value: unknown): void {
+	const body = Buffer.from(JSON.stringify(value));
+	response.writeHead(status, {
+		'content-type': 'application/json',
+		'content-length': body.length,
+	});
+	response.end(body);
+}
--- /dev/null
+++ b/src/node/answer.ts
@@ -0,0 +1,87 @@
+/**
+ * Writes answers: a server's answer or a refusal, to a caller or to another node. An answer
+ * whose body is cut short takes the connection down with it, so that it never passes as whole.
+ */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {pipeline} from 'node:stream';
+import {
+	headerNames,
+	isWhole,
+	outcomes,
+	type AttemptAnswered,
+	type Outcome,
+	type Refusal,
+} from '../call/index.js';
+
+/** Header names and values in turn, to add to an answer. */
+export type ExtraHeaders = readonly string[];
+
+/**
+ * Writes a server's answer.
+ *
+ * @param response where to write
+ * @param answer the server's answer
+ * @param extra headers to add
+ */
+export function writeAnswer(
+	response: ServerResponse,
+	answer: AttemptAnswered,
+	extra: ExtraHeaders = [],
+): void {
+	const headers = [...answer.headers, headerNames.outcome, outcomes.ran, ...extra];
+	response.writeHead(answer.status, headers);
+	if (isWhole(answer.body)) {
+		response.end(answer.body);
+		return;
+	}
+
+	pipeline(answer.body, response, error => {
+		if (error) {
+			response.destroy();
+		}
+	});
+}
+
+/**
+ * Writes a refusal as JSON.
+ *
+ * @param response where to write
+ * @param refusal what is refused, and the remedy
+ * @param outcome what the caller is told of its request
+ * @param extra headers to add
+ */
+export function writeRefusal(
+	response: ServerResponse,
+	refusal: Refusal,
+	outcome: Outcome,
+	extra: ExtraHeaders = [],
+): void {
+	if (response.destroyed) {
+		return;
+	}
+
+	const body = Buffer.from(JSON.stringify({...refusal, outcome}));
+	const headers = [
+		'content-type',
+		'application/json',
+		'content-length',
+		String(body.length),
+		headerNames.outcome,
+		outcome,
+		headerNames.refusal,
+		refusal.kind,
+		...extra,
+	];
+	if (refusal.retryAfterMilliseconds !== undefined) {
+		headers.push('retry-after', String(Math.ceil(refusal.retryAfterMilliseconds / 1000)));
+	}
+
+	// A request body that was not read would otherwise be read to its end to keep the connection.
+	if (!response.req.complete) {
+		headers.push('connection', 'close');
+	}
+
+	response.writeHead(refusal.status, headers);
+	response.end(body);
+}
--- /dev/null
+++ b/src/node/exchange.ts
@@ -0,0 +1,250 @@
+/**
+ * One HTTP exchange as a client: sends a request over a kept connection and gives back either a
+ * whole answer, a stream of a large one, or what is known of the failure. The kinds of failure
+ * matter more than their causes: only `unsent` proves that the other side received nothing.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	request as sendRequest,
+	type Agent,
+	type ClientRequest,
+	type IncomingMessage,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import {pipeline, type Readable} from 'node:stream';
+import {findHeader, isWhole, type Body, type HeaderList} from '../call/index.js';
+
+/** Bodies up to this size are held in memory, so that they can be sent again. */
+export const wholeBodyLimitBytes = 65_536;
+
+const connectTimeoutMilliseconds = 1000;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+export const exchangeKinds = {
+	answered: 'answered',
+	/** The connection was never made: nothing was received. */
+	unsent: 'unsent',
+	/** The request may have been received, in whole or part. */
+	lost: 'lost',
+} as const;
+
+export type ExchangeAnswered = {
+	readonly kind: typeof exchangeKinds.answered;
+	readonly status: number;
+	readonly rawHeaders: HeaderList;
+	readonly body: Body;
+};
+
+export type ExchangeFailed = {
+	readonly kind: typeof exchangeKinds.unsent | typeof exchangeKinds.lost;
+	readonly message: string;
+};
+
+export type ExchangeResult = ExchangeAnswered | ExchangeFailed;
+
+/** What to send, and where. */
+export type ExchangeRequest = {
+	readonly agent: Agent;
+	readonly host: string;
+	readonly port: number;
+	readonly method: string;
+	readonly path: string;
+	/** Complete header list, but for the framing of the body. */
+	readonly headers: HeaderList;
+	readonly body: Body;
+	/** Whether a streamed body waits until the other side asks for it. */
+	readonly awaitContinue: boolean;
+};
+
+/** An exchange under way. */
+export type RunningExchange = {
+	/** Never rejects. */
+	readonly result: Promise<ExchangeResult>;
+	readonly cancel: () => void;
+};
+
+type Progress = {
+	connected: boolean;
+};
+
+/**
+ * Starts an exchange.
+ *
+ * @param options what to send, and where
+ * @returns the exchange under way
+ */
+export function startExchange(options: ExchangeRequest): RunningExchange {
+	const progress: Progress = {connected: false};
+	const request = sendRequest({
+		agent: options.agent,
+		host: options.host,
+		port: options.port,
+		method: options.method,
+		path: options.path,
+		headers: frameHeaders(options),
+	});
+	request.on('socket', socket => {
+		watchConnection(request, socket, progress);
+	});
+	const result = new Promise<ExchangeResult>(resolve => {
+		request.on('response', response => {
+			receiveAnswer(request, response, progress, resolve);
+		});
+		request.on('error', error => {
+			resolve(describeFailure(error, progress));
+		});
+	});
+	sendBody(request, options);
+	return {
+		result,
+		cancel() {
+			request.destroy(new Error('cancelled'));
+		},
+	};
+}
+
+function frameHeaders(options: ExchangeRequest): string[] {
+	const headers = [...options.headers];
+	if (findHeader(headers, 'host') === undefined) {
+		headers.push('host', formatHost(options.host, options.port));
+	}
+
+	const hasLength = findHeader(headers, 'content-length') !== undefined;
+	if (isWhole(options.body)) {
+		if (options.body.length > 0 && !hasLength) {
+			headers.push('content-length', String(options.body.length));
+		}
+
+		return headers;
+	}
+
+	if (!hasLength) {
+		headers.push('transfer-encoding', 'chunked');
+	}
+
+	if (options.awaitContinue) {
+		headers.push('expect', '100-continue');
+	}
+
+	return headers;
+}
+
+function watchConnection(
+	request: ClientRequest,
+	socket: Socket,
+	progress: Progress,
+): void {
+	if (!socket.connecting) {
+		progress.connected = true;
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		request.destroy(new Error(`no connection within ${connectTimeoutMilliseconds} ms`));
+	}, connectTimeoutMilliseconds);
+	socket.once('connect', () => {
+		progress.connected = true;
+		clearTimeout(timer);
+	});
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
+function sendBody(request: ClientRequest, options: ExchangeRequest): void {
+	const {body} = options;
+	if (isWhole(body)) {
+		request.end(body.length > 0 ? body : undefined);
+		return;
+	}
+
+	if (!options.awaitContinue) {
+		passStream(body, request);
+		return;
+	}
+
+	request.flushHeaders();
+	request.once('continue', () => {
+		passStream(body, request);
+	});
+}
+
+function passStream(body: Readable, request: ClientRequest): void {
+	pipeline(body, request, error => {
+		if (error) {
+			request.destroy(error);
+		}
+	});
+}
+
+function receiveAnswer(
+	request: ClientRequest,
+	response: IncomingMessage,
+	progress: Progress,
+	resolve: (result: ExchangeResult) => void,
+): void {
+	const answer = (body: Body): void => {
+		resolve({
+			kind: exchangeKinds.answered,
+			status: response.statusCode!,
+			rawHeaders: response.rawHeaders,
+			body,
+		});
+	};
+
+	if (!isSmall(request, response)) {
+		answer(response);
+		return;
+	}
+
+	collectWhole(response, (whole, error) => {
+		if (whole) {
+			answer(whole);
+			return;
+		}
+
+		resolve(describeFailure(error, progress));
+	});
+}
+
+function isSmall(request: ClientRequest, response: IncomingMessage): boolean {
+	if (request.method === 'HEAD' || bodilessStatuses.has(response.statusCode!)) {
+		return true;
+	}
+
+	const length = response.headers['content-length'];
+	return length !== undefined && Number(length) <= wholeBodyLimitBytes;
+}
+
+/**
+ * Reads a message's body into memory.
+ *
+ * @param message the message, whose length is known to be small
+ * @param done is called once, with the whole body or with the error that cut it short
+ */
+export function collectWhole(
+	message: IncomingMessage,
+	done: (whole: Uint8Array | undefined, error: Error | undefined) => void,
+): void {
+	const chunks: Uint8Array[] = [];
+	message.on('data', (chunk: Uint8Array) => {
+		chunks.push(chunk);
+	});
+	message.once('end', () => {
+		done(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), undefined);
+	});
+	message.once('error', (error: Error) => {
+		done(undefined, error);
+	});
+}
+
+function describeFailure(error: Error | undefined, progress: Progress): ExchangeFailed {
+	return {
+		kind: progress.connected ? exchangeKinds.lost : exchangeKinds.unsent,
+		message: error?.message ?? 'the body was cut short',
+	};
+}
+
+function formatHost(host: string, port: number): string {
+	return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
--- /dev/null
+++ b/src/node/index.ts
@@ -0,0 +1,3 @@
+/** Public surface of the node. */
+export {runNode, startNode, type NodePorts, type RunningNode} from './program.js';
+export type {ListenError} from './listener.js';
--- /dev/null
+++ b/src/node/peer-client.ts
@@ -0,0 +1,140 @@
+/**
+ * Sends attempts to the gates of other nodes over kept HTTP connections, and reads back what
+ * became of them.
+ */
+import {Buffer} from 'node:buffer';
+import {Agent} from 'node:http';
+import {
+	attemptResultKinds,
+	copyEndToEndHeaders,
+	createRefusal,
+	findHeader,
+	formatAttemptId,
+	headerNames,
+	isWhole,
+	outcomes,
+	parseRefusal,
+	refusalKinds,
+	type AttemptRequest,
+	type AttemptResult,
+	type Refusal,
+	type RunningAttempt,
+} from '../call/index.js';
+import type {Member} from '../membership/index.js';
+import {
+	exchangeKinds,
+	startExchange,
+	type ExchangeAnswered,
+	type ExchangeResult,
+} from './exchange.js';
+
+export type PeerClient = {
+	readonly send: (member: Member, request: AttemptRequest) => RunningAttempt;
+	readonly close: () => void;
+};
+
+const idleConnectionMilliseconds = 30_000;
+
+/**
+ * Creates the client of other nodes' gates.
+ *
+ * @param now present time, milliseconds of the monotonic clock
+ * @returns the client
+ */
+export function createPeerClient(now: () => number): PeerClient {
+	const agent = new Agent({keepAlive: true, timeout: idleConnectionMilliseconds});
+	return {
+		send(member, request) {
+			const exchange = startExchange({
+				agent,
+				host: member.host,
+				port: member.peerPort,
+				method: request.method,
+				path: request.path,
+				headers: listPeerHeaders(request, now()),
+				body: request.body,
+				awaitContinue: !isWhole(request.body),
+			});
+			return {result: exchange.result.then(readPeerResult), cancel: exchange.cancel};
+		},
+		close() {
+			agent.destroy();
+		},
+	};
+}
+
+function listPeerHeaders(request: AttemptRequest, now: number): string[] {
+	const remaining = Math.max(0, Math.round(request.deadlineAt - now));
+	return [
+		...request.headers,
+		headerNames.attempt,
+		formatAttemptId(request.id),
+		headerNames.service,
+		request.service,
+		headerNames.rank,
+		request.rank,
+		headerNames.caller,
+		request.caller,
+		headerNames.deadline,
+		String(remaining),
+		headerNames.idempotent,
+		request.idempotent ? '1' : '0',
+		headerNames.retries,
+		String(request.retries),
+	];
+}
+
+function readPeerResult(result: ExchangeResult): AttemptResult {
+	if (result.kind === exchangeKinds.lost) {
+		return {kind: attemptResultKinds.lost, message: result.message};
+	}
+
+	if (result.kind !== exchangeKinds.answered) {
+		return {
+			kind: attemptResultKinds.refused,
+			refusal: createRefusal(
+				refusalKinds.noServer,
+				`the node takes no connection (${result.message}): try again shortly`,
+			),
+			outcome: outcomes.notRun,
+			load: undefined,
+		};
+	}
+
+	return readPeerAnswer(result);
+}
+
+function readPeerAnswer(result: ExchangeAnswered): AttemptResult {
+	const load = findHeader(result.rawHeaders, headerNames.load);
+	const outcome = findHeader(result.rawHeaders, headerNames.outcome);
+	if (outcome === outcomes.ran) {
+		return {
+			kind: attemptResultKinds.answered,
+			status: result.status,
+			headers: copyEndToEndHeaders(result.rawHeaders),
+			body: result.body,
+			load,
+		};
+	}
+
+	if (
+		(outcome !== outcomes.notRun && outcome !== outcomes.unknown) ||
+		!isWhole(result.body)
+	) {
+		return {
+			kind: attemptResultKinds.lost,
+			message: 'the node answered without an outcome',
+		};
+	}
+
+	return {
+		kind: attemptResultKinds.refused,
+		refusal: readRefusal(result.body),
+		outcome,
+		load,
+	};
+}
+
+function readRefusal(body: Uint8Array): Refusal {
+	return parseRefusal(Buffer.from(body).toString('utf8'));
+}
--- /dev/null
+++ b/src/node/peer-listener.ts
@@ -0,0 +1,147 @@
+/**
+ * The listener for calls that other nodes bring to this node's gate.
+ */
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {
+	attemptResultKinds,
+	copyEndToEndHeaders,
+	createRefusal,
+	headerNames,
+	outcomes,
+	parseAttemptId,
+	refusalKinds,
+	type AttemptRequest,
+	type AttemptResult,
+	type Body,
+	type RunningAttempt,
+} from '../call/index.js';
+import {writeAnswer, writeRefusal} from './answer.js';
+import {hasSmallBody, readSmallBody} from './request-body.js';
+
+type PeerListenerOptions = {
+	readonly run: (request: AttemptRequest) => RunningAttempt;
+	/** Present time, milliseconds of the monotonic clock. */
+	readonly now: () => number;
+};
+
+const idleConnectionMilliseconds = 60_000;
+
+/**
+ * Creates the listener; the caller binds it.
+ *
+ * @param options the gate's `run`, and the clock
+ * @returns the HTTP server
+ */
+export function createPeerListener(options: PeerListenerOptions): Server {
+	const server = createServer({
+		keepAliveTimeout: idleConnectionMilliseconds,
+		noDelay: true,
+	});
+	server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+		receive(options, request, response, undefined);
+	});
+	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+		receive(options, request, response, () => {
+			response.writeContinue();
+		});
+	});
+	return server;
+}
+
+function receive(
+	options: PeerListenerOptions,
+	request: IncomingMessage,
+	response: ServerResponse,
+	onDispatch: (() => void) | undefined,
+): void {
+	const startWith = (body: Body): void => {
+		start(options, readAttempt(request, body, onDispatch, options.now()), response);
+	};
+
+	if (hasSmallBody(request)) {
+		readSmallBody(request, startWith);
+		return;
+	}
+
+	startWith(request);
+}
+
+function start(
+	options: PeerListenerOptions,
+	attempt: AttemptRequest | undefined,
+	response: ServerResponse,
+): void {
+	if (attempt === undefined) {
+		const refusal = createRefusal(
+			refusalKinds.malformed,
+			'this listener serves other nodes only: send calls to the data listener',
+		);
+		writeRefusal(response, refusal, outcomes.notRun);
+		return;
+	}
+
+	const running = options.run(attempt);
+	response.once('close', running.cancel);
+	void running.result.then(result => {
+		response.removeListener('close', running.cancel);
+		writeResult(response, result);
+	});
+}
+
+function readAttempt(
+	request: IncomingMessage,
+	body: Body,
+	onDispatch: (() => void) | undefined,
+	now: number,
+): AttemptRequest | undefined {
+	const {headers} = request;
+	const id = parseAttemptId(readText(headers[headerNames.attempt]));
+	if (id === undefined) {
+		return undefined;
+	}
+
+	return {
+		id,
+		service: readText(headers[headerNames.service]),
+		method: request.method!,
+		path: request.url!,
+		headers: copyEndToEndHeaders(request.rawHeaders),
+		body,
+		rank: readText(headers[headerNames.rank]),
+		caller: readText(headers[headerNames.caller]),
+		deadlineAt: now + Number(readText(headers[headerNames.deadline])),
+		idempotent: headers[headerNames.idempotent] === '1',
+		retries: Number(readText(headers[headerNames.retries])),
+		onDispatch,
+	};
+}
+
+function readText(value: string | string[] | undefined): string {
+	return typeof value === 'string' ? value : '';
+}
+
+function writeResult(response: ServerResponse, result: AttemptResult): void {
+	if (result.kind === attemptResultKinds.answered) {
+		writeAnswer(response, result, [headerNames.load, result.load ?? '']);
+		return;
+	}
+
+	if (result.kind === attemptResultKinds.refused) {
+		writeRefusal(response, result.refusal, result.outcome, [
+			headerNames.load,
+			result.load ?? '',
+		]);
+		return;
+	}
+
+	const refusal = createRefusal(
+		refusalKinds.serverFailed,
+		`contact with the server was lost (${result.message}): send idempotent requests again`,
+	);
+	writeRefusal(response, refusal, outcomes.unknown);
+}
--- /dev/null
+++ b/test/support/mesh.ts
@@ -0,0 +1,152 @@
+/**
+ * A small mesh of real processes: nodes, each with a stand-in server beside it.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {sendCall} from './http.js';
+import {
+	findFreePorts,
+	startProcess,
+	writeSettings,
+	type Cleaner,
+	type StartedProcess,
+} from './processes.js';
+
+export type NodePorts = {
+	readonly data: number;
+	readonly peer: number;
+	readonly local: number;
+};
+
+export type MeshNode = {
+	readonly nodeId: string;
+	readonly process: StartedProcess<NodePorts>;
+	readonly server: StartedProcess<{port: number}>;
+	readonly dataPort: number;
+	readonly serverPort: number;
+	readonly settingsFile: string;
+};
+
+/** One node of the mesh and the server beside it. */
+export type MeshNodeOptions = {
+	readonly service: string;
+	readonly slots?: number;
+	readonly serviceTimeMilliseconds?: number;
+	readonly region?: string;
+	readonly failureDomain?: string;
+};
+
+const portsPerNode = 5;
+const readyTimeoutMilliseconds = 10_000;
+
+const services = {
+	availability: {
+		rank: 'urgent',
+		deadlineMilliseconds: 2000,
+		idempotentMethods: ['GET', 'HEAD'],
+	},
+	booking: {
+		rank: 'urgent',
+		deadlineMilliseconds: 2000,
+		idempotentMethods: ['GET', 'HEAD'],
+	},
+	proofs: {
+		rank: 'background',
+		deadlineMilliseconds: 5000,
+		idempotentMethods: ['GET', 'HEAD', 'PUT'],
+	},
+	ledger: {
+		rank: 'normal',
+		deadlineMilliseconds: 2000,
+		idempotentMethods: ['GET', 'HEAD'],
+	},
+};
+
+/**
+ * Starts nodes that know each other, with their servers, and waits until each server is reached.
+ *
+ * @param cleaner the test, which ends the processes when it is over
+ * @param nodes the nodes to start
+ * @returns the nodes in the given order
+ */
+export async function startMesh(
+	cleaner: Cleaner,
+	nodes: readonly MeshNodeOptions[],
+): Promise<MeshNode[]> {
+	const ports = await findFreePorts(nodes.length * portsPerNode);
+	const members = nodes.map((node, index) => ({
+		nodeId: `node-${index}`,
+		host: '127.0.0.1',
+		peerPort: ports[index * portsPerNode + 1]!,
+		controlPort: ports[index * portsPerNode + 2]!,
+		region: node.region ?? 'coast',
+		failureDomain: node.failureDomain ?? 'coast-a',
+		service: node.service,
+		slots: node.slots ?? 10,
+	}));
+	return Promise.all(
+		nodes.map(async (node, index) => {
+			const nodePorts = ports.slice(index * portsPerNode, (index + 1) * portsPerNode);
+			return startMeshNode(cleaner, node, members[index]!, {members, nodePorts});
+		}),
+	);
+}
+
+async function startMeshNode(
+	cleaner: Cleaner,
+	node: MeshNodeOptions,
+	member: {nodeId: string; region: string; failureDomain: string},
+	mesh: {members: unknown[]; nodePorts: number[]},
+): Promise<MeshNode> {
+	const [data, peer, control, local, administration] = mesh.nodePorts;
+	const settingsFile = writeSettings({
+		node: {
+			id: member.nodeId,
+			host: '127.0.0.1',
+			region: member.region,
+			failureDomain: member.failureDomain,
+		},
+		listeners: {data, peer, control, local, administration},
+		members: mesh.members,
+		services,
+	});
+	const started = await startProcess<NodePorts>(cleaner, 'foxtailtide', [
+		'node',
+		'--settings',
+		settingsFile,
+	]);
+	const server = await startProcess<{port: number}>(cleaner, 'stand-in-server', [
+		'--service',
+		node.service,
+		'--name',
+		`server-of-${member.nodeId}`,
+		'--slots',
+		String(node.slots ?? 10),
+		'--local',
+		`127.0.0.1:${local}`,
+		'--service-time-milliseconds',
+		String(node.serviceTimeMilliseconds ?? 0),
+	]);
+	await waitUntilServed(data!, node.service);
+	return {
+		nodeId: member.nodeId,
+		process: started,
+		server,
+		dataPort: data!,
+		serverPort: server.ready.port,
+		settingsFile,
+	};
+}
+
+async function waitUntilServed(port: number, service: string): Promise<void> {
+	const until = Date.now() + readyTimeoutMilliseconds;
+	while (Date.now() < until) {
+		const answer = await sendCall({port, service, path: '/ready'});
+		if (answer.status === 200) {
+			return;
+		}
+
+		await sleep(20);
+	}
+
+	throw new Error(`${service} is not served on port ${port}`);
+}
--- /dev/null
+++ b/test/support/processes.ts
@@ -0,0 +1,109 @@
+/**
+ * Starts the programs of the product and its stand-ins as processes of their own, and ends them
+ * by id when the test is over.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {stringify} from 'yaml';
+
+const root = path.resolve(import.meta.dirname, '../..');
+const startTimeoutMilliseconds = 20_000;
+
+export type StartedProcess<Ready> = {
+	readonly child: ChildProcess;
+	/** What the process printed once it was ready. */
+	readonly ready: Ready;
+	readonly logs: string[];
+	readonly signal: (signal: NodeJS.Signals) => void;
+	/** Resolves with the exit code once the process has ended. */
+	readonly ended: Promise<number | undefined>;
+};
+
+/** What a test registers its clean-up with. */
+export type Cleaner = {readonly after: (clean: () => Promise<void> | void) => void};
+
+/**
+ * Starts a bundled program and waits for its first line of JSON.
+ *
+ * @param cleaner the test, which ends the process when it is over
+ * @param program name of the bundle under `dist/`
+ * @param parameters command line
+ * @returns the process, ready
+ */
+export async function startProcess<Ready>(
+	cleaner: Cleaner,
+	program: string,
+	parameters: readonly string[],
+): Promise<StartedProcess<Ready>> {
+	const child = spawn(
+		process.execPath,
+		[path.join(root, 'dist', `${program}.cjs`), ...parameters],
+		{stdio: ['ignore', 'pipe', 'pipe']},
+	);
+	const ended = once(child, 'exit').then(
+		([code]) => (code as number | undefined) ?? undefined,
+	);
+	const logs: string[] = [];
+	createInterface({input: child.stderr}).on('line', line => logs.push(line));
+	cleaner.after(async () => {
+		child.kill('SIGKILL');
+		await ended;
+	});
+	const lines = createInterface({input: child.stdout});
+	const ready = await waitForLine(lines, program, logs);
+	return {
+		child,
+		ready: JSON.parse(ready) as Ready,
+		logs,
+		signal(signal) {
+			child.kill(signal);
+		},
+		ended,
+	};
+}
+
+async function waitForLine(
+	lines: ReturnType<typeof createInterface>,
+	program: string,
+	logs: readonly string[],
+): Promise<string> {
+	const signal = AbortSignal.timeout(startTimeoutMilliseconds);
+	const line = once(lines, 'line', {signal}) as Promise<[string]>;
+	const closed = once(lines, 'close', {signal}).then(() => {
+		throw new Error(`${program} ended before it was ready:\n${logs.join('\n')}`);
+	});
+	const [first] = await Promise.race([line, closed]);
+	return first;
+}
+
+/** Ports that were free a moment ago. */
+export async function findFreePorts(count: number): Promise<number[]> {
+	const servers = Array.from({length: count}, () =>
+		createServer().listen(0, '127.0.0.1'),
+	);
+	await Promise.all(servers.map(async server => once(server, 'listening')));
+	const ports = servers.map(server => (server.address() as AddressInfo).port);
+	await Promise.all(
+		servers.map(async server => {
+			server.close();
+			await once(server, 'close');
+		}),
+	);
+	return ports;
+}
+
+/** Writes a settings file into a folder of its own. */
+export function writeSettings(settings: unknown): string {
+	const file = path.join(
+		mkdtempSync(path.join(tmpdir(), 'foxtailtide-')),
+		'settings.yaml',
+	);
+	writeFileSync(file, stringify(settings));
+	return file;
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -30,6 +30,10 @@
 		files: ['test/**', 'bench/**', 'stand-ins/**', 'scripts/**', 'demo/**'],
 		rules: {
 			'no-await-in-loop': 'off',
+			// Tests read the JSON that they have asked for.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// An arrow that pushes or resumes needs no braces in a test.
+			'@typescript-eslint/strict-void-return': 'off',
 		},
 	},
 ];
