--- a/src/main.ts
+++ b/src/main.ts
@@ -34,7 +34,6 @@
 	);
 }
 
-// eslint-disable-next-line unicorn/prefer-top-level-await -- The bundle is CommonJS.
 void main().then(code => {
 	process.exitCode = code;
 });
--- a/test/process/whole-path.test.ts
+++ b/test/process/whole-path.test.ts
@@ -1,6 +1,5 @@
 /** A call goes from a caller through nodes to a server and back, each a process of its own. */
 import {Buffer} from 'node:buffer';
-
 import {createHash, randomBytes} from 'node:crypto';
 import {test} from 'node:test';
 import {expect} from 'earl';
