Add the command line's frame, the load command and the example presets of both deployments

The commands stand in one static table that the command library is given as its only plugin: nothing is looked for on disk, so the program can be one bundled file or one executable.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,6 +15,8 @@
 	outdir: 'dist',
 	outExtension: {'.js': '.cjs'},
 	bundle: true,
+	// The command library would load it for plugins in TypeScript, of which there are none.
+	external: ['typescript'],
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
--- /dev/null
+++ b/src/command/load.ts
@@ -0,0 +1,110 @@
+/** Runs an experiment of the load tool. */
+import {writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {Args, Flags} from '@oclif/core';
+import {
+	findTargetsBeyondLoopback,
+	formatPage,
+	formatTable,
+	parseExperiment,
+	runExperiment,
+	type Experiment,
+	type RunReport,
+} from '../load/index.js';
+import {formatFaults} from '../settings/document.js';
+import {BaseCommand} from './base-command.js';
+import {exitCodes} from './exit-codes.js';
+
+export class LoadCommand extends BaseCommand {
+	static override summary = 'Send an open-loop load and report latency and outcomes.';
+	static override description =
+		'Requests go out when the seeded schedule says so, however slow the answers are. Latency runs from the intended time of sending. Nothing is sent beyond loopback unless told.';
+
+	static override examples = [
+		'<%= config.bin %> load bench/experiments/steady.yaml --target 127.0.0.1:7100',
+		'<%= config.bin %> load steady.yaml --seed 7 --duration-seconds 5 --report steady.html --json',
+	];
+
+	static override args = {
+		experiment: Args.string({description: 'YAML file of the experiment', required: true}),
+	};
+
+	static override flags = {
+		target: Flags.string({
+			description: 'data listener as host:port, in place of those of the file',
+			multiple: true,
+		}),
+		seed: Flags.integer({description: 'seed in place of that of the file', min: 0}),
+		'duration-seconds': Flags.integer({
+			description: 'duration in place of that of the file',
+			min: 1,
+			max: 3600,
+		}),
+		report: Flags.string({description: 'HTML file to write'}),
+		output: Flags.string({description: 'JSON file to write'}),
+		'beyond-loopback': Flags.boolean({description: 'allow targets on other hosts'}),
+	};
+
+	static override enableJsonFlag = true;
+
+	override async run(): Promise<RunReport> {
+		const {args, flags} = await this.parse(LoadCommand);
+		const experiment = this.readExperiment(args.experiment, {
+			targets: flags.target,
+			seed: flags.seed,
+			durationSeconds: flags['duration-seconds'],
+		});
+		this.refuseBeyondLoopback(experiment, flags['beyond-loopback']);
+		const report = await runUntilSignal(experiment);
+		if (flags.report !== undefined) {
+			writeFileSync(flags.report, formatPage(report));
+		}
+
+		if (flags.output !== undefined) {
+			writeFileSync(flags.output, `${JSON.stringify(report, undefined, '\t')}\n`);
+		}
+
+		this.log(formatTable(report));
+		return report;
+	}
+
+	private readExperiment(
+		file: string,
+		changes: Readonly<Partial<Pick<Experiment, 'targets' | 'seed' | 'durationSeconds'>>>,
+	): Experiment {
+		const parsed = parseExperiment(this.readText(file));
+		if (parsed.isErr()) {
+			return this.fail(exitCodes.badInput, formatFaults(file, parsed.error));
+		}
+
+		return {
+			...parsed.value,
+			targets: changes.targets ?? parsed.value.targets,
+			seed: changes.seed ?? parsed.value.seed,
+			durationSeconds: changes.durationSeconds ?? parsed.value.durationSeconds,
+		};
+	}
+
+	private refuseBeyondLoopback(experiment: Experiment, isAllowed: boolean): void {
+		const beyond = findTargetsBeyondLoopback(experiment.targets);
+		if (beyond.length > 0 && !isAllowed) {
+			this.fail(
+				exitCodes.badInput,
+				`${beyond.join(', ')} is beyond loopback: use a loopback target, or add --beyond-loopback`,
+			);
+		}
+	}
+}
+
+/** An interrupt ends the sending; what was sent is still waited for and reported. */
+async function runUntilSignal(experiment: Experiment): Promise<RunReport> {
+	const controller = new AbortController();
+	const stop = () => {
+		controller.abort();
+	};
+
+	process.once('SIGINT', stop);
+	const report = await runExperiment(experiment, controller.signal);
+	process.removeListener('SIGINT', stop);
+	return report;
+}
--- /dev/null
+++ b/src/command/program.ts
@@ -0,0 +1,131 @@
+/**
+ * The command line as one static table. The commands are part of the bundle and none is looked
+ * for on disk, so that the program runs as a single file and as a single executable.
+ */
+import path from 'node:path';
+import process from 'node:process';
+import {
+	Errors,
+	Flags,
+	flush,
+	handle,
+	run,
+	type Command,
+	type Interfaces,
+} from '@oclif/core';
+import {LoadCommand} from './load.js';
+import {product} from './product.js';
+import {VersionCommand} from './version.js';
+
+const commands: ReadonlyMap<string, Command.Class> = new Map<string, Command.Class>([
+	['load', LoadCommand],
+	['version', VersionCommand],
+]);
+
+const topics: Interfaces.Topic[] = [
+	{name: 'preset', description: 'List, show and switch presets.'},
+	{name: 'configuration', description: 'Apply and follow configurations.'},
+	{name: 'keys', description: 'Issue idempotency keys.'},
+];
+
+const description = 'A load balancer for servers whose load shifts in milliseconds.';
+
+/**
+ * Runs the command line.
+ *
+ * @param argumentList arguments without the program's own name
+ */
+export async function runProgram(argumentList: string[]): Promise<void> {
+	const plugin = createPlugin(path.dirname(process.execPath));
+	const options = {
+		root: plugin.root,
+		pjson: plugin.pjson,
+		plugins: new Map([[plugin.name, plugin]]),
+	};
+	try {
+		await run(argumentList, options);
+		await flush();
+	} catch (error) {
+		await handle(error instanceof Error ? error : new Error(String(error)));
+	}
+}
+
+/** The whole command line as the one plugin that the library knows. */
+function createPlugin(root: string): Interfaces.Plugin {
+	const loadables = [...commands].map(([id, commandClass]) =>
+		createLoadable(id, commandClass),
+	);
+	return {
+		_base: product.name,
+		alias: product.name,
+		name: product.name,
+		version: product.version,
+		type: 'core',
+		moduleType: 'commonjs',
+		root,
+		options: {root},
+		pjson: {
+			name: product.name,
+			version: product.version,
+			description,
+			oclif: {bin: product.name, topicSeparator: ' '},
+		},
+		isRoot: true,
+		valid: true,
+		hasManifest: false,
+		hooks: {},
+		topics,
+		commands: loadables,
+		// eslint-disable-next-line @typescript-eslint/naming-convention -- The library's own name.
+		commandIDs: loadables.map(({id}) => id),
+		commandsDir: undefined,
+		findCommand: async (id: string) => findCommand(id),
+		async load() {
+			// Everything is loaded with the bundle.
+		},
+	};
+}
+
+function findCommand(id: string): Command.Class {
+	const commandClass = commands.get(id);
+	if (commandClass === undefined) {
+		throw new Errors.CLIError(`command ${id} not found: see ${product.name} --help`);
+	}
+
+	return commandClass;
+}
+
+function createLoadable(id: string, commandClass: Command.Class): Command.Loadable {
+	commandClass.id = id;
+	const flags: Record<string, Command.Flag.Cached> = {
+		...commandClass.baseFlags,
+		...commandClass.flags,
+	};
+	if (commandClass.enableJsonFlag) {
+		flags.json = Flags.boolean({description: 'print JSON for scripts'});
+	}
+
+	return {
+		id,
+		aliases: [],
+		hiddenAliases: [],
+		hidden: false,
+		strict: commandClass.strict,
+		summary: commandClass.summary,
+		description: commandClass.description,
+		examples: commandClass.examples,
+		args: nameEach(commandClass.args),
+		flags: nameEach(flags),
+		load: async () => commandClass,
+	};
+}
+
+/** The help pages read each name from the item itself. */
+function nameEach<Item extends Record<string, unknown>>(
+	items: Readonly<Record<string, Item>>,
+): Record<string, Item & {readonly name: string}> {
+	const named = Object.entries(items).map(
+		([name, item]) => [name, {...item, name}] as const,
+	);
+	return Object.fromEntries(named);
+}
--- /dev/null
+++ b/test/examples/examples.test.ts
@@ -0,0 +1,30 @@
+/** The example files are without faults and hold what both deployments need. */
+import {readFileSync} from 'node:fs';
+import path from 'node:path';
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {parseConfiguration} from '../../src/configuration/index.js';
+
+const examples = path.resolve(import.meta.dirname, '../../examples');
+
+const cases: ReadonlyArray<{
+	readonly team: string;
+	readonly services: readonly string[];
+}> = [
+	{team: 'darkrooms', services: ['availability', 'booking', 'ledger', 'proofs']},
+	{team: 'winterthal', services: ['archive', 'artwork', 'print-orders', 'proofs']},
+];
+
+for (const {team, services} of cases) {
+	test(`the presets of ${team} are without faults and name every service`, () => {
+		const text = readFileSync(path.join(examples, team, 'configuration.yaml'), 'utf8');
+		const document = parseConfiguration(text)._unsafeUnwrap();
+		expect(Object.keys(document.presets)).toEqual(['ordinary', 'peaks', 'maintenance']);
+		expect(document.inForce).toEqual('ordinary');
+		for (const preset of Object.values(document.presets)) {
+			expect(Object.keys(preset.services).toSorted((a, b) => a.localeCompare(b))).toEqual(
+				[...services],
+			);
+		}
+	});
+}
