Ask the gate whether a lost attempt ever reached its server

Cause: an ingress that lost contact could only say unknown. The gate now keeps the table of attempts, and answers a cancellation over the control listener (gRPC): withdrawn and never dispatched prove not-run, and leave a tombstone that refuses a late arrival. The answer counts only from the life of the node that the attempt was sent to.

--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -6,16 +6,25 @@
 import {Agent} from 'node:http';
 import type {Readable} from 'node:stream';
 import {
+	admissions,
+	admitAttempt,
 	attemptResultKinds,
+	cancelAttempt,
 	copyEndToEndHeaders,
+	createAttemptTable,
 	createRefusal,
+	dispatchAttempt,
 	findHeader,
+	finishAttempt,
 	headerNames,
 	isWhole,
 	outcomes,
 	refusalKinds,
+	type Admission,
+	type AttemptId,
 	type AttemptRequest,
 	type AttemptResult,
+	type Cancellation,
 	type Refusal,
 	type RunningAttempt,
 } from '../call/index.js';
@@ -52,6 +61,8 @@
 	/** Refuses new work from now on, or takes it again. */
 	readonly setLeaving: (leaving: boolean) => void;
 	readonly run: (request: AttemptRequest) => RunningAttempt;
+	/** Cancels an attempt for the ingress that lost contact, and says what is proven of it. */
+	readonly cancelAttempt: (id: AttemptId) => Cancellation;
 	readonly state: () => GateState;
 	/** Resolves once nothing is in flight or queued. */
 	readonly drained: () => Promise<void>;
@@ -86,6 +97,7 @@
 		timeout: idleConnectionMilliseconds,
 	});
 	const queue: Entry[] = [];
+	const attempts = createAttemptTable();
 	const idleWaiters: Array<() => void> = [];
 	let server: LocalServer | undefined;
 	let leaving = false;
@@ -95,6 +107,7 @@
 
 	function refuse(entry: Entry, refusal: Refusal): void {
 		refused += 1;
+		finishAttempt(attempts, entry.request.id);
 		entry.settle({
 			kind: attemptResultKinds.refused,
 			refusal,
@@ -108,6 +121,7 @@
 	}
 
 	function dispatch(entry: Entry, target: LocalServer): void {
+		dispatchAttempt(attempts, entry.request.id);
 		inFlight += 1;
 		dispatched += 1;
 		entry.request.onDispatch?.();
@@ -128,27 +142,30 @@
 
 	function settleExchange(entry: Entry, result: ExchangeResult): void {
 		if (result.kind !== exchangeKinds.answered) {
-			release();
+			release(entry);
 			entry.settle(describeServerFailure(result, formatLoad()));
 			return;
 		}
 
 		const {body} = result;
 		if (isWhole(body)) {
-			release();
+			release(entry);
 		} else {
-			releaseWhenClosed(body);
+			releaseWhenClosed(entry, body);
 		}
 
 		const answer = readServerAnswer(result, formatLoad());
 		entry.settle(answer);
 	}
 
-	function releaseWhenClosed(body: Readable): void {
-		body.once('close', release);
+	function releaseWhenClosed(entry: Entry, body: Readable): void {
+		body.once('close', () => {
+			release(entry);
+		});
 	}
 
-	function release(): void {
+	function release(entry: Entry): void {
+		finishAttempt(attempts, entry.request.id);
 		inFlight -= 1;
 		const next = server && inFlight < server.slots ? queue.shift() : undefined;
 		if (next && server) {
@@ -169,6 +186,12 @@
 	}
 
 	function admit(entry: Entry): void {
+		const admission = admitAttempt(attempts, entry.request.id);
+		if (admission !== admissions.admitted) {
+			refuseUnknown(entry, admission);
+			return;
+		}
+
 		if (leaving) {
 			refuse(
 				entry,
@@ -196,6 +219,30 @@
 		queue.push(entry);
 	}
 
+	/** A second copy of an attempt is dropped without a word of its outcome: the first decides. */
+	function refuseUnknown(entry: Entry, admission: Admission): void {
+		refused += 1;
+		entry.settle({
+			kind: attemptResultKinds.refused,
+			refusal: createRefusal(
+				refusalKinds.cancelled,
+				`the attempt was not admitted (${admission}): send the request again`,
+			),
+			outcome: admission === admissions.duplicate ? outcomes.unknown : outcomes.notRun,
+			load: formatLoad(),
+		});
+	}
+
+	function cancelById(id: AttemptId): Cancellation {
+		const cancellation = cancelAttempt(attempts, id);
+		const entry = queue.find(({request}) => isSameAttempt(request.id, id));
+		if (entry) {
+			cancel(entry);
+		}
+
+		return cancellation;
+	}
+
 	function cancel(entry: Entry): void {
 		if (entry.exchange) {
 			entry.exchange.cancel();
@@ -236,6 +283,7 @@
 				},
 			};
 		},
+		cancelAttempt: cancelById,
 		state: () => ({server, leaving, inFlight, queued: queue.length, dispatched, refused}),
 		async drained() {
 			if (inFlight === 0 && queue.length === 0) {
@@ -252,6 +300,10 @@
 	};
 }
 
+function isSameAttempt(one: AttemptId, other: AttemptId): boolean {
+	return one.sequence === other.sequence && one.ingress === other.ingress;
+}
+
 function listServerHeaders(request: AttemptRequest, now: number): string[] {
 	const remaining = Math.max(0, Math.round(request.deadlineAt - now));
 	return [
--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -19,6 +19,12 @@
 import {createFixedDirectory, type Directory} from './directory.js';
 import {createGate, type Gate} from './gate.js';
 import {createIngress, type Ingress} from './ingress.js';
+import {
+	createAttemptCanceller,
+	createAttemptControl,
+	type AttemptCanceller,
+} from './attempt-control.js';
+import {listenForControl} from './control.js';
 import {listen, type ListenError} from './listener.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPeerListener} from './peer-listener.js';
@@ -27,6 +33,7 @@
 export type NodePorts = {
 	readonly data: number;
 	readonly peer: number;
+	readonly control: number;
 	readonly local: number;
 };
 
@@ -61,7 +68,8 @@
 		);
 		const gate = createGate({now});
 		const peers = createPeerClient(now);
-		const ingress = createNodeIngress(settings, directory, gate, peers);
+		const canceller = createAttemptCanceller();
+		const ingress = createNodeIngress({settings, directory, gate, peers, canceller});
 		const announcements = createAnnouncements({
 			now,
 			onChange(announced) {
@@ -73,6 +81,11 @@
 		const ports = {
 			data: yield* listen(ingress.server, host, settings.listeners.data),
 			peer: yield* listen(peerListener, host, settings.listeners.peer),
+			control: yield* listenForControl(
+				[createAttemptControl(directory.self, gate.cancelAttempt)],
+				host,
+				settings.listeners.control,
+			),
 			local: yield* listen(announcements.server, host, settings.listeners.local),
 		};
 		yield* expireRegularly(announcements.expire);
@@ -80,6 +93,7 @@
 			Effect.sync(() => {
 				gate.close();
 				peers.close();
+				canceller.close();
 			}),
 		);
 		log.info('node started', {nodeId: settings.node.id, incarnation, ...ports});
@@ -126,12 +140,16 @@
 	};
 }
 
-function createNodeIngress(
-	settings: Settings,
-	directory: Directory,
-	gate: Gate,
-	peers: PeerClient,
-): Ingress {
+type IngressParts = {
+	readonly settings: Settings;
+	readonly directory: Directory;
+	readonly gate: Gate;
+	readonly peers: PeerClient;
+	readonly canceller: AttemptCanceller;
+};
+
+function createNodeIngress(parts: IngressParts): Ingress {
+	const {settings, directory, gate, peers, canceller} = parts;
 	const self = directory.self();
 	return createIngress({
 		ingressName: formatIngress(self.nodeId, self.incarnation),
@@ -142,7 +160,7 @@
 			directory.membersOf(head.service).find(member => !excluded.has(member.nodeId)),
 		send: (member, request) =>
 			member.nodeId === self.nodeId ? gate.run(request) : peers.send(member, request),
-		confirmNotRun: async () => false,
+		confirmNotRun: canceller.confirmNotRun,
 		grantRetry: () => true,
 	});
 }
