Look into verdicts before believing them, and prove the fault cases of membership

Sync pages carried the verdicts of a cut that had healed, so a healthy half would have lost its own members for a while. A verdict found by anti-entropy now makes the node probe the member first, with the verdict attached so that the member can refute; a verdict heard by gossip counts as a suspicion.

--- a/src/membership/broadcast.ts
+++ b/src/membership/broadcast.ts
@@ -4,12 +4,12 @@
  * news of it.
  */
 import {subjectOf, type Rumour} from './message.js';
-import {rumourBytes} from './codec.js';
+import {measureRumour, takeRoom, type PacketRoom, type RumourSize} from './codec.js';
 
 type Entry = {
 	readonly subject: string;
 	readonly rumour: Rumour;
-	readonly bytes: number;
+	readonly size: RumourSize;
 };
 
 /** Rumours by the number of times that they were sent, newest last. */
@@ -35,7 +35,7 @@
  */
 export function enqueueRumour(broadcast: Broadcast, rumour: Rumour): void {
 	const subject = subjectOf(rumour);
-	const entry: Entry = {subject, rumour, bytes: rumourBytes(rumour)};
+	const entry: Entry = {subject, rumour, size: measureRumour(rumour)};
 	broadcast.entries.set(subject, entry);
 	broadcast.tiers[0] ??= [];
 	broadcast.tiers[0].push(entry);
@@ -45,22 +45,20 @@
  * Takes the rumours that fit, and counts them as sent once more. Updates the queue in place.
  *
  * @param broadcast the queue
- * @param bytes room in the datagram
+ * @param room what is left of the packet, updated in place
  * @param transmissions times that a rumour is sent in all
  * @returns the rumours to send
  */
 export function takeRumours(
 	broadcast: Broadcast,
-	bytes: number,
+	room: PacketRoom,
 	transmissions: number,
 ): Rumour[] {
 	const taken: Rumour[] = [];
-	let room = bytes;
-	// Highest tier last, so an entry that moves up is not met twice: tiers are read before
-	// what was taken is put back.
+	// Taken entries are put back after all tiers are read, so that none is met twice.
 	const moved: Array<{entry: Entry; tier: number}> = [];
 	for (const [sent, tier] of broadcast.tiers.entries()) {
-		room = takeFromTier(broadcast, tier, room, entry => {
+		takeFromTier(broadcast, tier, room, entry => {
 			taken.push(entry.rumour);
 			moved.push({entry, tier: sent + 1});
 		});
@@ -83,25 +81,19 @@
 function takeFromTier(
 	broadcast: Broadcast,
 	tier: Entry[],
-	room: number,
+	room: PacketRoom,
 	take: (entry: Entry) => void,
-): number {
-	let left = room;
+): void {
 	while (tier.length > 0) {
 		const entry = tier.at(-1)!;
-		if (broadcast.entries.get(entry.subject) !== entry) {
-			tier.pop();
-			continue;
-		}
-
-		if (entry.bytes > left) {
-			return left;
+		const isCurrent = broadcast.entries.get(entry.subject) === entry;
+		if (isCurrent && !takeRoom(room, entry.size)) {
+			return;
 		}
 
 		tier.pop();
-		left -= entry.bytes;
-		take(entry);
+		if (isCurrent) {
+			take(entry);
+		}
 	}
-
-	return left;
 }
--- a/src/membership/codec.ts
+++ b/src/membership/codec.ts
@@ -17,6 +17,18 @@
 const fieldOverheadBytes = 4;
 const nameOverheadBytes = 2;
 
+/** Room that a rumour takes: its own bytes, and names that it shares with other rumours. */
+export type RumourSize = {
+	readonly bytes: number;
+	readonly names: readonly string[];
+};
+
+/** What is left of a packet that is being filled. */
+export type PacketRoom = {
+	bytes: number;
+	readonly names: Set<string>;
+};
+
 /** A datagram that is not a packet of this protocol. */
 export type CodecError = {
 	readonly kind: 'malformed-packet';
@@ -67,21 +79,42 @@
 }
 
 /**
- * Gives the room that a rumour takes in a packet at most.
+ * Measures a rumour.
  *
  * @param rumour the news
- * @returns bytes
+ * @returns the room that it takes in a packet at most
  */
-export function rumourBytes(rumour: Rumour): number {
+export function measureRumour(rumour: Rumour): RumourSize {
 	const wire = WirePacket.fromPartial({});
 	const names = new Map<string, number>();
 	addRumour(wire, names, rumour);
-	let bytes = WirePacket.encode(wire).finish().length + fieldOverheadBytes;
-	for (const name of names.keys()) {
-		bytes += Buffer.byteLength(name) + nameOverheadBytes;
+	const bytes = WirePacket.encode(wire).finish().length + fieldOverheadBytes;
+	return {bytes, names: [...names.keys()]};
+}
+
+/**
+ * Fills a packet: takes a rumour when it fits. Updates the room in place.
+ *
+ * @param room what is left in the packet
+ * @param size size of the rumour
+ * @returns whether it fits
+ */
+export function takeRoom(room: PacketRoom, size: RumourSize): boolean {
+	let cost = size.bytes;
+	for (const name of size.names) {
+		cost += room.names.has(name) ? 0 : Buffer.byteLength(name) + nameOverheadBytes;
+	}
+
+	if (cost > room.bytes) {
+		return false;
+	}
+
+	room.bytes -= cost;
+	for (const name of size.names) {
+		room.names.add(name);
 	}
 
-	return bytes;
+	return true;
 }
 
 function toWireBody(body: Body): WirePacket['body'] {
--- a/src/membership/leave.ts
+++ b/src/membership/leave.ts
@@ -3,8 +3,8 @@
 import {type Body, type Rumour} from './message.js';
 import {addressOf} from './probe.js';
 import {pickPeers} from './roster.js';
-import {sendPacket} from './send.js';
-import {updateSelf} from './standing.js';
+import {sendProbe} from './send.js';
+import {updateSelf} from './self.js';
 import {takeSequence, type Step} from './state.js';
 
 /**
@@ -56,7 +56,7 @@
 		const sequence = takeSequence(state);
 		leave.sequences.add(sequence);
 		const ping: Body = {kind: 'ping', sequence, target: peer.nodeId};
-		sendPacket(step, addressOf(peer), ping, [{kind: 'detail', record: state.self}]);
+		sendProbe(step, addressOf(peer), ping, [{kind: 'detail', record: state.self}]);
 	}
 }
 
@@ -72,6 +72,6 @@
 	const standing = {incarnation, revision: revision + 1, status: memberStatuses.dead};
 	const farewell: Rumour = {kind: 'standing', nodeId, standing};
 	for (const peer of pickPeers(state.roster, state.parameters.leavePeers, random)) {
-		sendPacket(step, addressOf(peer), {kind: 'gossip'}, [farewell]);
+		sendProbe(step, addressOf(peer), {kind: 'gossip'}, [farewell]);
 	}
 }
--- a/src/membership/machine.ts
+++ b/src/membership/machine.ts
@@ -7,21 +7,19 @@
 import {type Address, type Packet, type Rumour} from './message.js';
 import {expireAnnouncements, raiseVersion, takeAnnouncement} from './news.js';
 import {
+	accusationOf,
 	addressOf,
 	advanceProbe,
 	answerPing,
-	relayPing,
 	takeAcknowledgement,
 } from './probe.js';
+import {noticePause} from './pause.js';
 import {forgetDeparted, pickPeers} from './roster.js';
-import {sendGossip} from './send.js';
-import {
-	applyRecord,
-	applyStanding,
-	expireSuspicions,
-	suspicionDeadline,
-	updateSelf,
-} from './standing.js';
+import {sendGossip, sendProbe} from './send.js';
+import {relayPing} from './relay.js';
+import {updateSelf} from './self.js';
+import {applyRecord, applyStanding} from './standing.js';
+import {expireSuspicions} from './suspicion.js';
 import {
 	type MembershipEffect,
 	type MembershipEvent,
@@ -122,10 +120,17 @@
 	}
 
 	state.counters.packetsReceived += 1;
+	const {refutations} = state.counters;
 	for (const rumour of rumours) {
 		takeRumour(step, rumour, packet);
 	}
 
+	if (state.counters.refutations > refutations) {
+		// The accuser may be beyond the reach of this node's gossip. The refutation is the newest
+		// rumour, so it is among those that ride along.
+		sendGossip(step, from);
+	}
+
 	if (!state.isSettled) {
 		const {settleMilliseconds} = state.parameters;
 		state.settleAt = Math.min(state.settleAt, step.now + settleMilliseconds);
@@ -159,6 +164,11 @@
 
 		case 'gossip':
 		case 'syncPage': {
+			const accusation = accusationOf(step, packet.from);
+			if (accusation.length > 0) {
+				sendProbe(step, from, {kind: 'gossip'}, accusation);
+			}
+
 			break;
 		}
 	}
@@ -225,33 +235,3 @@
 		requestSync(step, addressOf(peer), false);
 	}
 }
-
-/**
- * A process that was paused has heard nothing meanwhile: its silence is no proof against its
- * peers. Open probes are dropped, suspicions start anew, and peers are asked what they hold,
- * so that this node learns of its own death and refutes it.
- */
-function noticePause(step: Step): void {
-	const {state, now, random} = step;
-	const gap = now - state.lastEventAt;
-	state.lastEventAt = now;
-	if (gap < state.parameters.pauseThresholdMilliseconds) {
-		return;
-	}
-
-	state.counters.pauses += 1;
-	state.probe = undefined;
-	state.relays.clear();
-	state.nextProbeAt = now + state.parameters.probeIntervalMilliseconds;
-	state.localHealth = Math.min(
-		state.parameters.maximumLocalHealth,
-		state.localHealth + 1,
-	);
-	for (const suspicion of state.suspicions.values()) {
-		suspicion.deadline = suspicionDeadline(step);
-	}
-
-	for (const peer of pickPeers(state.roster, state.parameters.gossipFanout, random)) {
-		requestSync(step, addressOf(peer), false);
-	}
-}
--- a/src/membership/parameters.ts
+++ b/src/membership/parameters.ts
@@ -11,14 +11,19 @@
 	readonly gossipIntervalMilliseconds: number;
 	/** Peers that receive news in each gossip interval. */
 	readonly gossipFanout: number;
-	/** A rumour is sent this many times for each power of ten of members. */
-	readonly retransmitMultiplier: number;
+	/**
+	 * A rumour is sent this many times beyond the natural logarithm of the members. The chance
+	 * that some member is missed falls by a factor of e with each.
+	 */
+	readonly extraTransmissions: number;
 	/** Bytes sent a second, with the headers of UDP and IP. */
 	readonly bytesPerSecond: number;
 	/** Bytes that may be sent at once after a quiet time. */
 	readonly burstBytes: number;
-	/** Bytes kept back from gossip for probes and their answers. */
+	/** Bytes kept back for probes and their answers. */
 	readonly probeReserveBytes: number;
+	/** Bytes kept back from gossip for sync, which never sends what the other side has. */
+	readonly syncReserveBytes: number;
 	/** A node without peers starts as settled after this time. */
 	readonly joinTimeoutMilliseconds: number;
 	/** Time after the first answer in which peers may tell of an earlier life. */
@@ -39,6 +44,8 @@
 	readonly leaveTimeoutMilliseconds: number;
 	/** Announcements held at once. */
 	readonly maximumAnnouncements: number;
+	/** Members held alive that are probed first since others hold them dead. */
+	readonly maximumDoubts: number;
 	readonly maximumTopics: number;
 	/** Bytes of the payload of one announcement. */
 	readonly maximumAnnouncementBytes: number;
@@ -56,10 +63,11 @@
 	suspicionMultiplier: 3,
 	gossipIntervalMilliseconds: 200,
 	gossipFanout: 3,
-	retransmitMultiplier: 3,
+	extraTransmissions: 6,
 	bytesPerSecond: 3000,
 	burstBytes: 6000,
 	probeReserveBytes: 1000,
+	syncReserveBytes: 1500,
 	joinTimeoutMilliseconds: 1000,
 	settleMilliseconds: 200,
 	syncIntervalMilliseconds: 10_000,
@@ -71,6 +79,7 @@
 	leavePeers: 5,
 	leaveTimeoutMilliseconds: 1000,
 	maximumAnnouncements: 256,
+	maximumDoubts: 64,
 	maximumTopics: 4096,
 	maximumAnnouncementBytes: 600,
 	maximumSyncJobs: 32,
@@ -78,12 +87,31 @@
 };
 
 /**
- * Scales a count by the size of the mesh.
+ * Gives how often a rumour is sent so that it likely reaches every member.
  *
- * @param multiplier count for each power of ten of members
+ * @param extraTransmissions transmissions beyond the logarithm
  * @param memberCount members known
- * @returns the count, at least `multiplier`
+ * @returns times
  */
-export function scaleByMembers(multiplier: number, memberCount: number): number {
-	return Math.ceil(multiplier * Math.max(1, Math.log10(memberCount + 1)));
+export function countTransmissions(
+	extraTransmissions: number,
+	memberCount: number,
+): number {
+	return Math.ceil(Math.log(memberCount + 1)) + extraTransmissions;
+}
+
+/**
+ * Gives the time that a suspected member has to refute.
+ *
+ * @param parameters the parameters of membership
+ * @param memberCount members known
+ * @returns milliseconds
+ */
+export function suspicionTimeout(
+	parameters: MembershipParameters,
+	memberCount: number,
+): number {
+	const {suspicionMultiplier, probeIntervalMilliseconds} = parameters;
+	const scale = Math.max(1, Math.log10(memberCount + 1));
+	return suspicionMultiplier * scale * probeIntervalMilliseconds;
 }
--- a/src/membership/probe.ts
+++ b/src/membership/probe.ts
@@ -4,9 +4,10 @@
  */
 import {memberStatuses, type Member} from './member.js';
 import {type Address, type Body, type Rumour} from './message.js';
+import {expireRelays, passOnAnswer} from './relay.js';
 import {pickPeers} from './roster.js';
-import {sendPacket} from './send.js';
-import {suspect} from './standing.js';
+import {sendProbe} from './send.js';
+import {suspect} from './suspicion.js';
 import {takeSequence, type Step} from './state.js';
 
 /**
@@ -57,27 +58,7 @@
 
 	const {sequence} = ping;
 	const answer: Body = {kind: 'acknowledgement', sequence, reached: true};
-	sendPacket(step, from, answer, accusationOf(step, sender));
-}
-
-/**
- * Probes a member for another.
- *
- * @param step the event being decided
- * @param request what arrived
- * @param from where the answer goes
- */
-export function relayPing(
-	step: Step,
-	request: Extract<Body, {kind: 'indirectPing'}>,
-	from: Address,
-): void {
-	const {state, now} = step;
-	const sequence = takeSequence(state);
-	const deadline = now + state.parameters.probeTimeoutMilliseconds;
-	state.relays.set(sequence, {origin: from, originSequence: request.sequence, deadline});
-	const ping: Body = {kind: 'ping', sequence, target: request.target};
-	sendPacket(step, {host: request.host, port: request.controlPort}, ping);
+	sendProbe(step, from, answer, accusationOf(step, sender));
 }
 
 /**
@@ -93,10 +74,7 @@
 	sender: string,
 ): void {
 	const {state} = step;
-	const relay = state.relays.get(answer.sequence);
-	if (relay !== undefined) {
-		state.relays.delete(answer.sequence);
-		answerRelay(step, relay.origin, relay.originSequence, true);
+	if (passOnAnswer(step, answer.sequence)) {
 		return;
 	}
 
@@ -136,7 +114,8 @@
 	const {state, now} = step;
 	const {parameters, roster, counters} = state;
 	state.nextProbeAt = now + parameters.probeIntervalMilliseconds;
-	const target = nextTarget(step);
+	const doubt = nextDoubt(step);
+	const target = doubt?.nodeId ?? nextTarget(step);
 	if (target === undefined) {
 		return;
 	}
@@ -155,13 +134,28 @@
 	};
 	counters.probes += 1;
 	const ping: Body = {kind: 'ping', sequence, target};
-	const wasSent = sendPacket(step, addressOf(member), ping, accusationOf(step, target));
+	const accusations: Rumour[] =
+		doubt === undefined ? accusationOf(step, target) : [doubt];
+	const wasSent = sendProbe(step, addressOf(member), ping, accusations);
 	if (!wasSent) {
 		// A probe that was never sent proves nothing.
 		state.probe = undefined;
 	}
 }
 
+/** Takes a member that another node holds dead; the probe tells it so. */
+function nextDoubt(step: Step): Extract<Rumour, {kind: 'standing'}> | undefined {
+	const {doubts, roster} = step.state;
+	for (const [nodeId, standing] of doubts) {
+		doubts.delete(nodeId);
+		if (roster.peerPositions.has(nodeId)) {
+			return {kind: 'standing', nodeId, standing};
+		}
+	}
+
+	return undefined;
+}
+
 /** Takes the members in turn; each round has another order. */
 function nextTarget(step: Step): string | undefined {
 	const {state, random} = step;
@@ -221,28 +215,6 @@
 	const count = state.parameters.indirectProbes;
 	for (const peer of pickPeers(state.roster, count, random, target)) {
 		state.counters.indirectProbes += 1;
-		sendPacket(step, addressOf(peer), request);
+		sendProbe(step, addressOf(peer), request);
 	}
 }
-
-function expireRelays(step: Step): void {
-	const {state, now} = step;
-	for (const [sequence, relay] of state.relays) {
-		if (relay.deadline > now) {
-			// Relays are in the order of their deadlines.
-			return;
-		}
-
-		state.relays.delete(sequence);
-		answerRelay(step, relay.origin, relay.originSequence, false);
-	}
-}
-
-function answerRelay(
-	step: Step,
-	origin: Address,
-	sequence: number,
-	reached: boolean,
-): void {
-	sendPacket(step, origin, {kind: 'acknowledgement', sequence, reached});
-}
--- a/src/membership/send.ts
+++ b/src/membership/send.ts
@@ -3,11 +3,12 @@
 import {fillBudget, spendBytes} from './budget.js';
 import {datagramOverheadBytes, encodePacket, maximumDatagramBytes} from './codec.js';
 import {type Address, type Body, type Rumour} from './message.js';
-import {scaleByMembers} from './parameters.js';
+import {countTransmissions} from './parameters.js';
 import {type Step} from './state.js';
 
 /**
- * Sends a packet when the budget allows it, with as much news as fits.
+ * Sends a probe or an answer to one when the budget allows it, with as much news as fits above
+ * the reserve that is kept for such packets.
  *
  * @param step the event being decided
  * @param address where to
@@ -15,7 +16,7 @@
  * @param rumours news that the packet must carry
  * @returns whether it was sent
  */
-export function sendPacket(
+export function sendProbe(
 	step: Step,
 	address: Address,
 	body: Body,
@@ -24,49 +25,49 @@
 	const {state} = step;
 	const from = state.self.member.nodeId;
 	const bare = encodePacket({from, body, rumours});
-	const room = roomForRumours(step, bare.length);
-	const news = room > 0 ? takeNews(step, room) : [];
+	const news = takeNews(step, bare.length);
 	const bytes =
 		news.length > 0 ? encodePacket({from, body, rumours: [...rumours, ...news]}) : bare;
 	return sendBytes(step, address, bytes, state.budget.tokens);
 }
 
 /**
- * Sends queued news alone, from what is left above the reserve for probes.
+ * Sends a packet from what is left above the reserve for probes.
  *
  * @param step the event being decided
  * @param address where to
- * @returns whether there was news and it was sent
+ * @param body what is asked or answered
+ * @param rumours news that the packet carries
+ * @returns whether it was sent
  */
-export function sendGossip(step: Step, address: Address): boolean {
+export function sendPacket(
+	step: Step,
+	address: Address,
+	body: Body,
+	rumours: readonly Rumour[],
+): boolean {
 	const from = step.state.self.member.nodeId;
-	const body: Body = {kind: 'gossip'};
-	const bare = encodePacket({from, body, rumours: []});
-	const rumours = takeNews(step, roomForRumours(step, bare.length));
-	if (rumours.length === 0) {
-		return false;
-	}
-
 	const bytes = encodePacket({from, body, rumours});
 	return sendBytes(step, address, bytes, availableBytes(step));
 }
 
 /**
- * Sends a page in answer to a sync request, from what is left above the reserve for probes.
+ * Sends queued news alone, from what is left above the reserve for probes.
  *
  * @param step the event being decided
  * @param address where to
- * @param rumours what the page holds
- * @returns whether it was sent
+ * @returns whether there was news and it was sent
  */
-export function sendPage(
-	step: Step,
-	address: Address,
-	rumours: readonly Rumour[],
-): boolean {
+export function sendGossip(step: Step, address: Address): boolean {
 	const from = step.state.self.member.nodeId;
-	const bytes = encodePacket({from, body: {kind: 'syncPage'}, rumours});
-	return sendBytes(step, address, bytes, availableBytes(step));
+	const body: Body = {kind: 'gossip'};
+	const bare = encodePacket({from, body, rumours: []});
+	const rumours = takeNews(step, bare.length);
+	if (rumours.length === 0) {
+		return false;
+	}
+
+	return sendPacket(step, address, body, rumours);
 }
 
 /**
@@ -81,18 +82,21 @@
 	return budget.tokens - parameters.probeReserveBytes;
 }
 
-function roomForRumours(step: Step, bareBytes: number): number {
-	const available = availableBytes(step) - datagramOverheadBytes;
-	return Math.min(maximumDatagramBytes, available) - bareBytes;
-}
-
-function takeNews(step: Step, room: number): Rumour[] {
+/** Takes the queued rumours that fit beside `bareBytes` without touching the reserve. */
+function takeNews(step: Step, bareBytes: number): Rumour[] {
 	const {broadcast, parameters, roster} = step.state;
-	const transmissions = scaleByMembers(
-		parameters.retransmitMultiplier,
+	const kept = parameters.syncReserveBytes + datagramOverheadBytes;
+	const available = availableBytes(step) - kept;
+	const bytes = Math.min(maximumDatagramBytes, available) - bareBytes;
+	if (bytes <= 0 || broadcast.entries.size === 0) {
+		return [];
+	}
+
+	const transmissions = countTransmissions(
+		parameters.extraTransmissions,
 		roster.records.size,
 	);
-	return takeRumours(broadcast, room, transmissions);
+	return takeRumours(broadcast, {bytes, names: new Set()}, transmissions);
 }
 
 function sendBytes(
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -7,7 +7,7 @@
 import {type Member, type MemberStatus} from './member.js';
 import {type Address, type Packet, type Rumour} from './message.js';
 import {type MembershipParameters} from './parameters.js';
-import {createRecord, type MemberRecord} from './record.js';
+import {createRecord, type MemberRecord, type Standing} from './record.js';
 import {createRoster, putRecord, type Roster} from './roster.js';
 
 /** A probe of one member that has not been answered yet. */
@@ -31,8 +31,6 @@
 
 export type Suspicion = {
 	deadline: number;
-	/** Whether this node raised the suspicion; only such a node spreads the verdict. */
-	readonly isAccuser: boolean;
 };
 
 /** An answer to a sync request that waits for its bytes. */
@@ -79,6 +77,8 @@
 	readonly broadcast: Broadcast;
 	readonly budget: ByteBudget;
 	readonly suspicions: Map<string, Suspicion>;
+	/** Members held alive that another node holds suspect or dead: they are probed first. */
+	readonly doubts: Map<string, Standing>;
 	readonly relays: Map<number, Relay>;
 	readonly topics: Map<string, number>;
 	readonly announcements: Map<string, HeldAnnouncement>;
@@ -180,6 +180,7 @@
 		broadcast: createBroadcast(),
 		budget: createByteBudget(parameters.bytesPerSecond, parameters.burstBytes, now),
 		suspicions: new Map(),
+		doubts: new Map(),
 		relays: new Map(),
 		topics: new Map(),
 		announcements: new Map(),
--- a/src/membership/wire-rumour.ts
+++ b/src/membership/wire-rumour.ts
@@ -82,7 +82,7 @@
 		failureDomain: indexOf(member.failureDomain),
 		service: indexOf(member.service),
 		slots: member.slots,
-		standingIncarnation: standing.incarnation,
+		laterIncarnation: standing.incarnation - member.incarnation,
 		revision: standing.revision,
 		status: statuses.indexOf(standing.status),
 	};
@@ -114,13 +114,10 @@
 }
 
 function fromDetail(detail: Detail, names: readonly string[]): MemberRecord {
-	const {incarnation, revision, detailRevision, standingIncarnation} = detail;
-	if (standingIncarnation < incarnation) {
-		throw new RangeError('standing is of an earlier life than its detail');
-	}
+	const {incarnation, revision, detailRevision, laterIncarnation} = detail;
 
 	const standing = {
-		incarnation: standingIncarnation,
+		incarnation: incarnation + laterIncarnation,
 		revision,
 		status: readStatus(detail.status),
 	};
--- /dev/null
+++ b/test/membership/mesh.ts
@@ -0,0 +1,246 @@
+/**
+ * Many members in one process on a virtual clock: the state machines themselves, their datagrams
+ * encoded and decoded, and paths that delay, lose, duplicate or cut. The same seed gives the same
+ * run.
+ */
+import {unsafeUniformIntDistribution, xoroshiro128plus} from 'pure-rand';
+import {decodePacket} from '../../src/membership/codec.js';
+import {advance} from '../../src/membership/machine.js';
+import {memberStatuses, type Member} from '../../src/membership/member.js';
+import {type Address} from '../../src/membership/message.js';
+import {
+	defaultParameters,
+	type MembershipParameters,
+} from '../../src/membership/parameters.js';
+import {
+	createState,
+	type MembershipEffect,
+	type MembershipEvent,
+	type MembershipState,
+} from '../../src/membership/state.js';
+
+export type MeshNode = {
+	readonly nodeId: string;
+	readonly address: Address;
+	readonly state: MembershipState;
+	readonly effects: MembershipEffect[];
+	isRunning: boolean;
+	isFrozen: boolean;
+};
+
+export type MeshOptions = {
+	readonly seed: number;
+	readonly parameters?: Partial<MembershipParameters>;
+	readonly delayMilliseconds?: number;
+	/** Share of datagrams that are lost. */
+	readonly loss?: number;
+	/** Share of datagrams that arrive twice. */
+	readonly duplication?: number;
+	/** Whether effects other than datagrams are kept for the test to read. */
+	readonly keepsEffects?: boolean;
+};
+
+export type Mesh = {
+	readonly nodes: MeshNode[];
+	readonly random: () => number;
+	now: number;
+	/** Whether the path from one node to another is cut. */
+	isCut: (from: MeshNode, to: MeshNode) => boolean;
+	readonly start: (
+		member: Partial<Member> & {nodeId: string},
+		seeds?: MeshNode[],
+	) => MeshNode;
+	readonly send: (node: MeshNode, event: MembershipEvent) => void;
+	readonly run: (milliseconds: number) => void;
+	/** Runs until the condition holds; gives the time that took, or undefined at the bound. */
+	readonly runUntil: (condition: () => boolean, bound: number) => number | undefined;
+};
+
+const controlPort = 7000;
+const randomRange = 0xff_ff_ff;
+const tickMilliseconds = 100;
+
+/**
+ * Creates an empty mesh.
+ *
+ * @param options seed, parameters of the members and faults of the paths
+ * @returns the mesh
+ */
+export function createMesh(options: MeshOptions): Mesh {
+	const random = createRandom(options.seed);
+	const arrivals = new Map<number, Array<() => void>>();
+	const byHost = new Map<string, MeshNode>();
+	const mesh: Mesh = {
+		nodes: [],
+		random,
+		now: 0,
+		isCut: () => false,
+		start,
+		send: dispatch,
+		run(milliseconds) {
+			runUntil(() => false, milliseconds);
+		},
+		runUntil,
+	};
+
+	function start(
+		member: Partial<Member> & {nodeId: string},
+		seeds: MeshNode[] = [],
+	): MeshNode {
+		const host =
+			member.host ??
+			`10.0.${Math.floor(mesh.nodes.length / 250)}.${mesh.nodes.length % 250}`;
+		const self = describeMember({...member, host});
+		const parameters = {...defaultParameters, ...options.parameters};
+		const state = createState(self, parameters, mesh.now);
+		state.seeds = seeds.map(({address}) => address);
+		const address = {host, port: controlPort};
+		const {nodeId} = self;
+		const flags = {isRunning: true, isFrozen: false};
+		const node: MeshNode = {nodeId, address, state, effects: [], ...flags};
+		mesh.nodes.push(node);
+		byHost.set(host, node);
+		return node;
+	}
+
+	function runUntil(condition: () => boolean, bound: number): number | undefined {
+		const startedAt = mesh.now;
+		while (mesh.now - startedAt < bound) {
+			if (condition()) {
+				return mesh.now - startedAt;
+			}
+
+			mesh.now += 1;
+			for (const deliver of arrivals.get(mesh.now) ?? []) {
+				deliver();
+			}
+
+			arrivals.delete(mesh.now);
+			tickNodes();
+		}
+
+		return condition() ? bound : undefined;
+	}
+
+	function tickNodes(): void {
+		// Each node ticks at its own phase.
+		for (
+			let index = mesh.now % tickMilliseconds;
+			index < mesh.nodes.length;
+			index += tickMilliseconds
+		) {
+			const node = mesh.nodes[index]!;
+			if (node.isRunning && !node.isFrozen) {
+				dispatch(node, {kind: 'tick'});
+			}
+		}
+	}
+
+	function dispatch(node: MeshNode, event: MembershipEvent): void {
+		for (const effect of advance(node.state, event, mesh.now, random)) {
+			if (effect.kind === 'send') {
+				transmit(node, effect.address, effect.bytes);
+			} else if (options.keepsEffects) {
+				node.effects.push(effect);
+			}
+		}
+	}
+
+	function transmit(from: MeshNode, address: Address, bytes: Uint8Array): void {
+		const to = byHost.get(address.host);
+		const isLost =
+			to === undefined || mesh.isCut(from, to) || random() < (options.loss ?? 0);
+		if (isLost) {
+			return;
+		}
+
+		const copies = random() < (options.duplication ?? 0) ? 2 : 1;
+		for (let copy = 0; copy < copies; copy += 1) {
+			const delay = 1 + Math.floor(random() * (options.delayMilliseconds ?? 2));
+			const waiting = arrivals.get(mesh.now + delay) ?? [];
+			waiting.push(() => {
+				deliver(to, bytes, from.address);
+			});
+			arrivals.set(mesh.now + delay, waiting);
+		}
+	}
+
+	function deliver(to: MeshNode, bytes: Uint8Array, from: Address): void {
+		// A frozen node's datagrams are lost: its socket has little room for them.
+		if (!to.isRunning || to.isFrozen) {
+			return;
+		}
+
+		const packet = decodePacket(bytes)._unsafeUnwrap();
+		dispatch(to, {kind: 'packet', packet, from});
+	}
+
+	return mesh;
+}
+
+/**
+ * Describes a member with everything that a test does not care for.
+ *
+ * @param member what matters
+ * @returns the member
+ */
+export function describeMember(member: Partial<Member> & {nodeId: string}): Member {
+	return {
+		incarnation: 1,
+		status: memberStatuses.alive,
+		host: '10.0.0.1',
+		peerPort: 7001,
+		controlPort,
+		region: 'west',
+		failureDomain: 'west-1',
+		service: 'booking',
+		slots: 10,
+		revision: 0,
+		...member,
+	};
+}
+
+/**
+ * Starts members that join by the first and runs until each knows all.
+ *
+ * @param mesh the mesh
+ * @param count members
+ * @param describe what each is; its name when absent
+ * @returns the members
+ */
+export function startMembers(
+	mesh: Mesh,
+	count: number,
+	describe: (index: number) => Partial<Member> = () => ({}),
+): MeshNode[] {
+	for (let index = 0; index < count; index += 1) {
+		mesh.start({nodeId: `node-${index}`, ...describe(index)}, mesh.nodes.slice(0, 1));
+	}
+
+	const joined = mesh.runUntil(
+		() => mesh.nodes.every(({state}) => state.roster.peers.length === count - 1),
+		300_000,
+	);
+	if (joined === undefined) {
+		throw new Error('the members did not join in time');
+	}
+
+	return mesh.nodes;
+}
+
+/**
+ * Gives the status that a node holds another to have.
+ *
+ * @param node who is asked
+ * @param nodeId about whom
+ * @returns the status; undefined for an unknown member
+ */
+export function statusAt(node: MeshNode, nodeId: string): Member['status'] | undefined {
+	return node.state.roster.records.get(nodeId)?.member.status;
+}
+
+function createRandom(seed: number): () => number {
+	const generator = xoroshiro128plus(seed);
+	return () =>
+		unsafeUniformIntDistribution(0, randomRange, generator) / (randomRange + 1);
+}
--- /dev/null
+++ b/test/membership/properties.test.ts
@@ -0,0 +1,218 @@
+/** Properties of the merge rule, the codec and the byte budget, over generated values. */
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {createByteBudget, fillBudget, spendBytes} from '../../src/membership/budget.js';
+import {
+	decodePacket,
+	encodePacket,
+	maximumDatagramBytes,
+	measureRumour,
+	takeRoom,
+} from '../../src/membership/codec.js';
+import {memberStatuses} from '../../src/membership/member.js';
+import {type Body, type Packet, type Rumour} from '../../src/membership/message.js';
+import {
+	compareStandings,
+	joinRecord,
+	mergeRecord,
+	mergeStanding,
+	type MemberRecord,
+	type Standing,
+} from '../../src/membership/record.js';
+import {describeMember} from './mesh.js';
+
+const run = {seed: 20_261_204, numRuns: 500};
+
+const status = fc.constantFrom(...Object.values(memberStatuses));
+const small = fc.integer({min: 0, max: 3});
+const name = fc.string({minLength: 1, maxLength: 40});
+const port = fc.integer({min: 0, max: 65_535});
+const standing: fc.Arbitrary<Standing> = fc.record(
+	{incarnation: small, revision: small, status},
+	{noNullPrototype: true},
+);
+
+/** Records of one node: its own word for a life and revision is always the same. */
+const record: fc.Arbitrary<MemberRecord> = fc
+	.record({
+		incarnation: small,
+		detailRevision: small,
+		later: small,
+		revision: small,
+		status,
+	})
+	.map(({incarnation, detailRevision, later, revision, status: given}) => {
+		const member = describeMember({
+			nodeId: 'node-0',
+			incarnation,
+			slots: incarnation * 10 + detailRevision,
+		});
+		const own = {incarnation: incarnation + later, revision, status: given};
+		return joinRecord(member, detailRevision, own);
+	});
+
+const anyRecord: fc.Arbitrary<MemberRecord> = fc
+	.record({
+		nodeId: name,
+		incarnation: fc.maxSafeNat().map(number => Math.floor(number / 2)),
+		host: name,
+		peerPort: port,
+		controlPort: port,
+		region: name,
+		failureDomain: name,
+		service: fc.option(name, {nil: undefined}),
+		slots: fc.nat(),
+		detailRevision: fc.nat(),
+		later: small,
+		revision: fc.nat(),
+		status,
+	})
+	.map(({detailRevision, later, revision, status: given, ...member}) =>
+		joinRecord({...member, status: given, revision}, detailRevision, {
+			incarnation: member.incarnation + later,
+			revision,
+			status: given,
+		}),
+	);
+
+const rumour: fc.Arbitrary<Rumour> = fc.oneof(
+	fc.record({kind: fc.constant('detail' as const), record: anyRecord}),
+	fc.record({kind: fc.constant('standing' as const), nodeId: name, standing}),
+	fc.record({
+		kind: fc.constant('version' as const),
+		topic: name,
+		version: fc.maxSafeNat(),
+	}),
+	fc.record({
+		kind: fc.constant('announcement' as const),
+		id: name,
+		payload: fc.uint8Array({maxLength: 60}),
+		remainingMilliseconds: fc.nat(),
+	}),
+);
+
+const body: fc.Arbitrary<Body> = fc.oneof(
+	fc.constant({kind: 'gossip' as const}),
+	fc.constant({kind: 'syncPage' as const}),
+	fc.record({kind: fc.constant('ping' as const), sequence: fc.nat(), target: name}),
+	fc.record({
+		kind: fc.constant('acknowledgement' as const),
+		sequence: fc.nat(),
+		reached: fc.boolean(),
+	}),
+	fc.record({
+		kind: fc.constant('indirectPing' as const),
+		sequence: fc.nat(),
+		target: name,
+		host: name,
+		controlPort: port,
+	}),
+	fc.record({
+		kind: fc.constant('syncRequest' as const),
+		digests: fc.array(fc.nat(), {maxLength: 128}),
+		services: fc.array(name, {maxLength: 5}),
+		isReply: fc.boolean(),
+		newsDigest: fc.nat(),
+	}),
+);
+
+const kindOrder = ['detail', 'standing', 'version', 'announcement'];
+
+/** Packets group their rumours by kind; the payload is compared byte by byte. */
+function normalize(packet: Packet): unknown {
+	const rumours = packet.rumours
+		.toSorted(
+			(left, right) => kindOrder.indexOf(left.kind) - kindOrder.indexOf(right.kind),
+		)
+		.map(item =>
+			item.kind === 'announcement' ? {...item, payload: [...item.payload]} : item,
+		);
+	return structuredClone({...packet, rumours});
+}
+
+test('the merge of records is commutative, associative and idempotent', () => {
+	const property = fc.property(record, record, record, (first, second, third) => {
+		expect(mergeRecord(first, second)).toEqual(mergeRecord(second, first));
+		expect(mergeRecord(mergeRecord(first, second), third)).toEqual(
+			mergeRecord(first, mergeRecord(second, third)),
+		);
+		expect(mergeRecord(first, first)).toExactlyEqual(first);
+		const merged = mergeRecord(first, second);
+		expect(mergeRecord(merged, second)).toExactlyEqual(merged);
+	});
+	fc.assert(property, run);
+});
+
+test('a merge never goes down, and standings may arrive in any order', () => {
+	const property = fc.property(record, fc.array(standing), (held, claims) => {
+		let forward = held;
+		for (const claim of claims) {
+			const next = mergeStanding(forward, claim);
+			expect(compareStandings(next.standing, forward.standing)).toBeGreaterThanOrEqual(0);
+			forward = next;
+		}
+
+		let backward = held;
+		for (const claim of claims.toReversed()) {
+			backward = mergeStanding(backward, claim);
+		}
+
+		expect(forward).toEqual(backward);
+	});
+	fc.assert(property, run);
+});
+
+test('a packet is decoded to what was encoded', () => {
+	const property = fc.property(
+		name,
+		body,
+		fc.array(rumour, {maxLength: 6}),
+		(from, ...rest) => {
+			const packet: Packet = {from, body: rest[0], rumours: rest[1]};
+			const decoded = decodePacket(encodePacket(packet))._unsafeUnwrap();
+			expect(normalize(decoded)).toEqual(normalize(packet));
+		},
+	);
+	fc.assert(property, run);
+});
+
+test('what fits by its measure is never larger than a datagram', () => {
+	const rumours = fc.array(rumour, {minLength: 20, maxLength: 120});
+	const property = fc.property(name, body, rumours, (from, given, offered) => {
+		const bare = encodePacket({from, body: given, rumours: []}).length;
+		const room = {bytes: maximumDatagramBytes - bare, names: new Set<string>()};
+		const taken = offered.filter(item => takeRoom(room, measureRumour(item)));
+		const bytes = encodePacket({from, body: given, rumours: taken}).length;
+		expect(bytes).toBeLessThanOrEqual(Math.max(bare, maximumDatagramBytes));
+	});
+	fc.assert(property, {...run, numRuns: 200});
+});
+
+test('bytes that are no packet are refused with a typed error and nothing is thrown', () => {
+	const property = fc.property(fc.uint8Array({maxLength: 200}), bytes => {
+		const decoded = decodePacket(Buffer.from(bytes));
+		if (decoded.isErr()) {
+			expect(decoded.error.kind).toEqual('malformed-packet');
+		}
+	});
+	fc.assert(property, {...run, numRuns: 2000});
+	expect(decodePacket(new Uint8Array()).isErr()).toEqual(true);
+});
+
+test('the byte budget never gives more than its rate and its burst', () => {
+	const step = fc.record({wait: fc.nat({max: 500}), bytes: fc.nat({max: 2000})});
+	const property = fc.property(fc.array(step), steps => {
+		const budget = createByteBudget(3000, 6000, 0);
+		let now = 0;
+		for (const {wait, bytes} of steps) {
+			now += wait;
+			fillBudget(budget, now);
+			spendBytes(budget, bytes);
+			expect(budget.spentBytes).toBeLessThanOrEqual(6000 + 3 * now);
+			expect(budget.tokens).toBeGreaterThanOrEqual(0);
+		}
+	});
+	fc.assert(property, run);
+});
--- /dev/null
+++ b/test/membership/restart.test.ts
@@ -0,0 +1,54 @@
+/** The whole fleet restarts: by seeds of the settings, by seed rows, and with the store down. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {createMesh, startMembers, type Mesh, type MeshNode} from './mesh.js';
+
+const second = 1000;
+const members = 24;
+
+/** Ends every node and starts each anew at its address with an empty memory. */
+function restartAll(mesh: Mesh, seedsOf: (nodes: MeshNode[]) => MeshNode[]): MeshNode[] {
+	const earlier = [...mesh.nodes];
+	for (const node of earlier) {
+		node.isRunning = false;
+	}
+
+	mesh.run(second);
+	return earlier.map(node => {
+		const {nodeId, host} = node.state.self.member;
+		return mesh.start({nodeId, host, incarnation: 2}, seedsOf(earlier));
+	});
+}
+
+function knowsAll(nodes: readonly MeshNode[]): boolean {
+	return nodes.every(({state}) => state.roster.peers.length === members - 1);
+}
+
+test('a fleet that restarts with the store down joins by the seeds of its settings', () => {
+	const mesh = createMesh({seed: 21});
+	startMembers(mesh, members);
+	const nodes = restartAll(mesh, earlier => earlier.slice(0, 3));
+	const elapsed = mesh.runUntil(() => knowsAll(nodes), 60 * second);
+	expect(elapsed === undefined).toEqual(false);
+	const incarnations = new Set(
+		[...nodes[5]!.state.roster.records.values()].map(({member}) => member.incarnation),
+	);
+	expect([...incarnations]).toEqual([2]);
+});
+
+test('a fleet without seeds stays apart while the store is down and joins once it is up', () => {
+	const mesh = createMesh({seed: 22});
+	startMembers(mesh, members);
+	const nodes = restartAll(mesh, () => []);
+	mesh.run(20 * second);
+	expect(nodes.every(({state}) => state.roster.peers.length === 0)).toEqual(true);
+	// The table holds the rows of a few nodes; every node reads them at its own time.
+	for (const node of nodes) {
+		const seeds = nodes.slice(2, 5).map(({address}) => address);
+		mesh.run(100);
+		mesh.send(node, {kind: 'seeds', seeds});
+	}
+
+	const elapsed = mesh.runUntil(() => knowsAll(nodes), 60 * second);
+	expect(elapsed === undefined).toEqual(false);
+});
