Follow the configuration: versions from gossip, nodes and the table, documents from nodes

Cause: every node must have the newest configuration within seconds, the table must not be polled by all of them, and a node never goes back. The follower is pure: events in, effects out; the task carries them out and a gRPC service hands documents from node to node. A node that was told of a version before the document reached its source waits there for it, so that documents follow the gossip without a second try. The table is only listed by versions; the row's version tells whether the one in force is the newest, so that listing stays small. Reading all rows at each poll was ruled out for its bytes, and a second row with our versions because two rows cannot change in one write.

--- a/src/configuration/acceptance.ts
+++ b/src/configuration/acceptance.ts
@@ -34,6 +34,8 @@
 export type Acceptance = {
 	readonly record: ChangeRecord;
 	readonly stored: StoredConfiguration;
+	/** Version of the row that holds `stored`. */
+	readonly rowVersion: string;
 };
 
 export type AcceptanceOptions = {
@@ -74,12 +76,26 @@
 	}
 
 	if (decision.value.kind === 'stands') {
-		return ok({record: decision.value.record, stored: present.value!});
+		const {record} = decision.value;
+		return ok({record, stored: present.value!, rowVersion: row!.version});
 	}
 
 	return writeUntilResolved(decision.value.next, toCondition(row), options);
 }
 
+/**
+ * Reads a team's row.
+ *
+ * @returns the row, `undefined` if there is none
+ */
+export async function readConfiguration(
+	table: TableClient,
+	team: string,
+): Promise<Result<StoredConfiguration | undefined, ChangeError>> {
+	const read = await table.read(toKey(team));
+	return read.mapErr(createStoreUnavailable).andThen(readRow);
+}
+
 async function writeUntilResolved(
 	next: StoredConfiguration,
 	condition: WriteCondition,
@@ -97,7 +113,7 @@
 			condition,
 		);
 		if (written.isOk()) {
-			return ok({record, stored: next});
+			return ok({record, stored: next, rowVersion: written.value.version});
 		}
 
 		const {error} = written;
@@ -126,9 +142,9 @@
 ): Result<Acceptance, ChangeError> {
 	return readRow(row).andThen(stored => {
 		const standing = findChange(stored, record.changeId);
-		return standing === undefined || stored === undefined
+		return standing === undefined || stored === undefined || row === undefined
 			? err(createChangeConflict(stored))
-			: ok({record: standing, stored});
+			: ok({record: standing, stored, rowVersion: row.version});
 	});
 }
 
--- /dev/null
+++ b/src/configuration/dump.ts
@@ -0,0 +1,36 @@
+/** What a dump of a node's state shows of its configuration. */
+import type {FollowerState, Surroundings} from './follower-state.js';
+import {findWait} from './readiness.js';
+
+/**
+ * Describes a follower in plain values.
+ *
+ * @param state the follower
+ * @param around the fleet as the node sees it
+ */
+export function describeFollower(
+	state: FollowerState,
+	around: Surroundings,
+): Record<string, unknown> {
+	return {
+		isReady: state.isReady,
+		waitsFor: findWait(state, around),
+		digest: state.holding.digest,
+		documents: [...state.holding.byTeam.values()].map(
+			({team, version, changeId, document, appliedAt}) => ({
+				team,
+				version,
+				changeId,
+				inForce: document.inForce,
+				appliedAt: new Date(appliedAt).toISOString(),
+			}),
+		),
+		heard: Object.fromEntries(state.heard),
+		fetching: [...state.fetching],
+		answeredPeers: Object.fromEntries(state.answeredPeers),
+		hasStoreAnswered: state.hasStoreAnswered,
+		isPoller: around.isPoller,
+		peers: around.peers,
+		counters: {...state.counters},
+	};
+}
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -17,3 +17,16 @@
 	type RoutingPolicy,
 	type ServicePolicy,
 } from './schema.js';
+export {type Acceptance} from './acceptance.js';
+export {
+	changeErrorKinds,
+	type Change,
+	type ChangeError,
+	type ChangeErrorKind,
+} from './change.js';
+export {type Configuration, type ConfigurationOptions} from './configuration.js';
+export {type Head, type Held} from './holding.js';
+export {createConfigurationPeers, type ConfigurationPeers} from './peers.js';
+export {waits, type Wait} from './readiness.js';
+export {type ChangeRecord, type StoredConfiguration} from './stored.js';
+export {createConfiguration} from './task.js';
--- /dev/null
+++ b/src/configuration/peer-service.ts
@@ -0,0 +1,90 @@
+/**
+ * Answers other nodes that ask for versions and documents. A node that was told of a version
+ * before the document reached this node waits here for it a little, so that documents follow
+ * the gossip from node to node without a second try.
+ */
+import type {ControlService} from '../control/index.js';
+import {
+	ConfigurationPeerService,
+	type ConfigurationPeerServer,
+	type FetchReply,
+} from '../generated/configuration.js';
+import type {FollowerState} from './follower-state.js';
+import {heldVersion, listHeads} from './holding.js';
+
+const longestWaitMilliseconds = 1000;
+const maximumWaiting = 256;
+
+export type PeerService = {
+	readonly service: ControlService;
+	/** Answers those who wait for the team's document, after it was applied. */
+	readonly release: (team: string) => void;
+};
+
+/**
+ * Creates the service.
+ *
+ * @param state what the node holds; only read
+ */
+export function createPeerService(state: FollowerState): PeerService {
+	const waiting = new Map<string, Set<() => void>>();
+	let waitingCount = 0;
+
+	const waitFor = (team: string, answer: () => void): void => {
+		const answers = waiting.get(team) ?? new Set();
+		const finish = (): void => {
+			clearTimeout(timer);
+			answers.delete(finish);
+			waitingCount -= 1;
+			answer();
+		};
+
+		const timer = setTimeout(finish, longestWaitMilliseconds);
+		waitingCount += 1;
+		answers.add(finish);
+		waiting.set(team, answers);
+	};
+
+	const handlers: ConfigurationPeerServer = {
+		compare(call, callback) {
+			const {digest} = state.holding;
+			const heads = call.request.digest === digest ? [] : listHeads(state.holding);
+			callback(null, {ready: state.isReady, digest, heads});
+		},
+		fetch(call, callback) {
+			const {team, version} = call.request;
+			const answer = (): void => {
+				callback(null, describeHeld(state, team));
+			};
+
+			const isUnderWay = (state.heard.get(team)?.version ?? 0) >= version;
+			const mustWait = heldVersion(state.holding, team) < version && isUnderWay;
+			if (mustWait && waitingCount < maximumWaiting) {
+				waitFor(team, answer);
+				return;
+			}
+
+			answer();
+		},
+	};
+	return {
+		service: {definition: ConfigurationPeerService, handlers},
+		release(team) {
+			for (const finish of waiting.get(team) ?? []) {
+				finish();
+			}
+
+			waiting.delete(team);
+		},
+	};
+}
+
+function describeHeld(state: FollowerState, team: string): FetchReply {
+	const held = state.holding.byTeam.get(team);
+	return {
+		version: held?.version ?? 0,
+		changeId: held?.changeId ?? '',
+		text: held?.text ?? '',
+		rowVersion: held?.rowVersion ?? '',
+	};
+}
--- a/src/configuration/stored.ts
+++ b/src/configuration/stored.ts
@@ -5,6 +5,7 @@
 import {createHash} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import type {Offer} from './holding.js';
 
 /** Changes that a row remembers; the present one is the first. */
 const maximumHistoryLength = 32;
@@ -69,6 +70,12 @@
 	}
 }
 
+/** The document of a row, as nodes offer it to each other. */
+export function createOffer(stored: StoredConfiguration, rowVersion: string): Offer {
+	const {team, version, text, history} = stored;
+	return {team, version, text, rowVersion, changeId: history[0]?.changeId ?? ''};
+}
+
 /** A short digest of a text. */
 export function digest(text: string): string {
 	return createHash('sha256').update(text).digest('hex').slice(0, 16);
--- /dev/null
+++ b/test/configuration/follower.test.ts
@@ -0,0 +1,166 @@
+/** Following the configuration: no node goes back, fresh nodes wait, and all converge. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {xoroshiro128plus, unsafeUniformIntDistribution} from 'pure-rand';
+import {heldVersion, takeOffer, createHolding} from '../../src/configuration/holding.js';
+import {createDocumentText} from '../support/configuration.js';
+import {
+	accept,
+	createFleet,
+	findReverted,
+	restart,
+	step,
+	team,
+	type Fleet,
+} from './fleet-model.js';
+
+const fleetSize = 5;
+const stepsToConverge = 400;
+const resolution = 1_000_000;
+
+function createRandom(seed: number): () => number {
+	const generator = xoroshiro128plus(seed);
+	return () => unsafeUniformIntDistribution(0, resolution - 1, generator) / resolution;
+}
+
+function listVersions(fleet: Fleet): number[] {
+	return fleet.nodes.map(node => heldVersion(node.state.holding, team));
+}
+
+const node = fc.integer({min: 0, max: fleetSize - 1});
+const actions = fc.array(
+	fc.oneof(
+		{
+			arbitrary: fc.record({kind: fc.constant('step' as const), times: fc.nat(40)}),
+			weight: 4,
+		},
+		fc.record({kind: fc.constant('accept' as const), node, dies: fc.boolean()}),
+		fc.record({kind: fc.constant('restart' as const), node}),
+		fc.record({kind: fc.constant('cut' as const), node, isCut: fc.boolean()}),
+		fc.record({kind: fc.constant('store' as const), isUp: fc.boolean()}),
+	),
+	{maxLength: 40},
+);
+
+type Action = typeof actions extends fc.Arbitrary<Array<infer Item>> ? Item : never;
+
+function run(fleet: Fleet, steps: number): void {
+	for (let count = 0; count < steps; count += 1) {
+		step(fleet);
+	}
+}
+
+function act(fleet: Fleet, action: Action): void {
+	switch (action.kind) {
+		case 'step': {
+			run(fleet, action.times);
+			return;
+		}
+
+		case 'accept': {
+			accept(fleet, action.node, action.dies);
+			return;
+		}
+
+		case 'restart': {
+			restart(fleet, action.node);
+			return;
+		}
+
+		case 'cut': {
+			fleet.nodes[action.node]!.isCut = action.isCut;
+			return;
+		}
+
+		case 'store': {
+			fleet.isStoreUp = action.isUp;
+		}
+	}
+}
+
+/** A node that the table answered in this life serves nothing older than it was told of. */
+function findStale(fleet: Fleet): number {
+	return fleet.nodes.findIndex(
+		({state, versionAtStart}) =>
+			state.isReady &&
+			state.hasStoreAnswered &&
+			heldVersion(state.holding, team) < versionAtStart,
+	);
+}
+
+test('under cuts, outages, restarts and deaths no node goes back, and all converge', () => {
+	fc.assert(
+		fc.property(actions, fc.integer({min: 1, max: 1_000_000}), (list, seed) => {
+			const fleet = createFleet(fleetSize, createRandom(seed));
+			accept(fleet, 0, false);
+			for (const action of list) {
+				act(fleet, action);
+				expect(findReverted(fleet)).toEqual(-1);
+				expect(findStale(fleet)).toEqual(-1);
+			}
+
+			fleet.isStoreUp = true;
+			for (const healed of fleet.nodes) {
+				healed.isCut = false;
+			}
+
+			run(fleet, stepsToConverge);
+
+			const {storeVersion} = fleet;
+			expect(listVersions(fleet)).toEqual(fleet.nodes.map(() => storeVersion));
+			expect(fleet.nodes.every(({state}) => state.isReady)).toEqual(true);
+		}),
+		{seed: 5, numRuns: 100},
+	);
+});
+
+test('documents that arrive out of order leave the highest in force', () => {
+	const versions = fc.array(fc.integer({min: 1, max: 9}), {minLength: 1});
+	fc.assert(
+		fc.property(versions, order => {
+			const holding = createHolding();
+			for (const version of order) {
+				const text = createDocumentText(team, version);
+				const rowVersion = String(version);
+				takeOffer(holding, {team, version, changeId: rowVersion, text, rowVersion}, 0);
+			}
+
+			const held = holding.byTeam.get(team);
+			const highest = Math.max(...order);
+			const deadline = held?.document.presets.ordinary?.services.booking;
+			expect(held?.version).toEqual(highest);
+			expect(deadline?.deadlineMilliseconds).toEqual(highest);
+		}),
+		{seed: 6, numRuns: 50},
+	);
+});
+
+test('with the table down a fresh node takes the highest version of several nodes', () => {
+	for (let seed = 1; seed <= 20; seed += 1) {
+		const fleet = createFleet(fleetSize, createRandom(seed));
+		accept(fleet, 0, false);
+		run(fleet, stepsToConverge);
+		fleet.nodes[4]!.isCut = true;
+		accept(fleet, 0, false);
+		run(fleet, stepsToConverge);
+		expect(listVersions(fleet)).toEqual([2, 2, 2, 2, 1]);
+
+		fleet.isStoreUp = false;
+		fleet.nodes[4]!.isCut = false;
+		restart(fleet, 2);
+		for (let count = 0; count < 100 && !fleet.nodes[2]!.state.isReady; count += 1) {
+			step(fleet);
+		}
+
+		expect(fleet.nodes[2]!.state.isReady).toEqual(true);
+		expect(heldVersion(fleet.nodes[2]!.state.holding, team)).toEqual(2);
+	}
+});
+
+test('a fleet without a table and without a configuration stays not ready', () => {
+	const fleet = createFleet(fleetSize, createRandom(4));
+	fleet.isStoreUp = false;
+	run(fleet, 100);
+	expect(fleet.nodes.some(({state}) => state.isReady)).toEqual(false);
+});
