Run the program by commands: node, check, load and version; settings name every fault at once

Settings gave one text for all faults, without lines. They are now read like every YAML document of the product: each fault with its line and a remedy, unknown keys included. The log's format is a setting.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -17,6 +17,8 @@
 	bundle: true,
 	// The command library would load it for plugins in TypeScript, of which there are none.
 	external: ['typescript'],
+	// Nothing is looked up beside the bundle, and a single executable warns of the attempt.
+	define: {'require.resolve': 'undefined', 'require.main': 'undefined'},
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
--- a/src/command/load.ts
+++ b/src/command/load.ts
@@ -11,7 +11,7 @@
 	type Experiment,
 	type RunReport,
 } from '../load/index.js';
-import {formatFaults} from '../settings/document.js';
+import {formatFaults} from '../settings/index.js';
 import {BaseCommand} from './base-command.js';
 import {exitCodes} from './exit-codes.js';
 
--- a/src/command/program.ts
+++ b/src/command/program.ts
@@ -13,12 +13,16 @@
 	type Command,
 	type Interfaces,
 } from '@oclif/core';
+import {CheckCommand} from './check.js';
 import {LoadCommand} from './load.js';
+import {NodeCommand} from './node.js';
 import {product} from './product.js';
 import {VersionCommand} from './version.js';
 
 const commands: ReadonlyMap<string, Command.Class> = new Map<string, Command.Class>([
+	['check', CheckCommand],
 	['load', LoadCommand],
+	['node', NodeCommand],
 	['version', VersionCommand],
 ]);
 
--- a/src/load/experiment.ts
+++ b/src/load/experiment.ts
@@ -4,7 +4,7 @@
  */
 import {type Result} from 'neverthrow';
 import {z} from 'zod';
-import {readDocument, type DocumentFault} from '../settings/document.js';
+import {readDocument, type DocumentFault} from '../settings/index.js';
 
 const maximumRatePerSecond = 100_000;
 const maximumDurationSeconds = 3600;
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,7 +1,4 @@
 /** Public surface of the settings. */
-export {
-	parseSettings,
-	readSettings,
-	type Settings,
-	type SettingsError,
-} from './settings.js';
+export {formatFaults, readDocument, type DocumentFault} from './document.js';
+export {type Settings} from './schema.js';
+export {parseSettings, readSettings, type SettingsError} from './settings.js';
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,87 @@
+/**
+ * The shape of a node's settings: who it is, where it listens, whom it asks first. Unknown keys
+ * are faults. Times carry their unit in their name.
+ */
+import {z} from 'zod';
+import {logFormats} from '../log/index.js';
+
+const addressPattern = /^(?:\[[0-9a-f:]+\]|[^:]+):\d{1,5}$/iv;
+
+/** Zero takes any free port. */
+const portSchema = z.int().min(0).max(65_535);
+const nameSchema = z
+	.string()
+	.max(128)
+	.regex(/^[\w.:@\-]+$/v, 'use letters, digits and ._:@- only');
+const hostSchema = z.union([z.ipv4(), z.ipv6()]);
+
+const serviceSchema = z.strictObject({
+	rank: nameSchema,
+	deadlineMilliseconds: z.int().min(1).max(3_600_000),
+	idempotentMethods: z.array(z.string()),
+});
+
+/** The settings as the library checks them. */
+export const settingsSchema = z.strictObject({
+	node: z.strictObject({
+		id: nameSchema,
+		host: hostSchema,
+		region: nameSchema,
+		failureDomain: nameSchema,
+	}),
+	/** Ports by listener; the callers' and the operators' are never the same. */
+	listeners: z
+		.strictObject({
+			data: portSchema,
+			peer: portSchema,
+			control: portSchema,
+			local: portSchema,
+			administration: portSchema,
+		})
+		.superRefine(refuseSharedPorts),
+	/** Addresses of other nodes' control listeners, `host:port`. */
+	seeds: z.array(z.string().regex(addressPattern, 'use host:port')).default([]),
+	/** Other nodes, until they are found by membership. */
+	members: z
+		.array(
+			z.strictObject({
+				nodeId: nameSchema,
+				host: hostSchema,
+				peerPort: portSchema,
+				controlPort: portSchema,
+				region: nameSchema,
+				failureDomain: nameSchema,
+				service: nameSchema.optional(),
+				slots: z.int().min(0).default(0),
+			}),
+		)
+		.default([]),
+	platform: z.strictObject({table: z.url()}).optional(),
+	/** How changes of state are logged. */
+	log: z.strictObject({format: z.enum(logFormats).default(logFormats.json)}).prefault({}),
+	/** Policies of services until a configuration is in force. */
+	services: z.record(nameSchema, serviceSchema).default({}),
+});
+
+/** The checked settings of a node. */
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** Two listeners on one port would let callers reach what is not theirs. */
+function refuseSharedPorts(
+	listeners: Readonly<Record<string, number>>,
+	context: z.RefinementCtx,
+): void {
+	const taken = new Map<number, string>();
+	for (const [name, port] of Object.entries(listeners)) {
+		const other = taken.get(port);
+		if (port !== 0 && other !== undefined) {
+			context.addIssue({
+				code: 'custom',
+				path: [name],
+				message: `port ${port} is that of ${other} too: give each listener its own`,
+			});
+		}
+
+		taken.set(port, name);
+	}
+}
