--- a/src/binding/bind.ts
+++ b/src/binding/bind.ts
@@ -20,7 +20,7 @@
 	readonly expiresAt: number;
 };
 
-export type VersionedBinding = {readonly binding: Binding; readonly version: number};
+export type VersionedBinding = {readonly binding: Binding; readonly version: string};
 
 /** A home that has ended and the key's expiry by its clock, in milliseconds. */
 export type EndedHome = {readonly home: Home; readonly expiresAt: number};
@@ -35,7 +35,7 @@
 /** What to do next. */
 export type BindingStep =
 	| {readonly kind: 'create'; readonly binding: Binding}
-	| {readonly kind: 'replace'; readonly binding: Binding; readonly version: number}
+	| {readonly kind: 'replace'; readonly binding: Binding; readonly version: string}
 	| {readonly kind: 'read'}
 	| {readonly kind: 'readClosing'; readonly home: Home}
 	| {readonly kind: 'done'; readonly result: BindingResult};
@@ -50,7 +50,8 @@
 /** What came of the last step. */
 export type BindingEvent =
 	| {readonly kind: 'written'}
-	| {readonly kind: 'conflict'}
+	/** The row was not as the write demanded; here it is as it stands. */
+	| {readonly kind: 'conflict'; readonly row: VersionedBinding | undefined}
 	| {readonly kind: 'read'; readonly row: VersionedBinding | undefined}
 	| {readonly kind: 'closingRead'; readonly closing: Closing | undefined}
 	| {readonly kind: 'failed'};
@@ -110,10 +111,7 @@
 			return finish(progress, bound(progress.wanted));
 		}
 
-		case 'conflict': {
-			return proceed(progress, {kind: 'read'});
-		}
-
+		case 'conflict':
 		case 'read': {
 			return judgeRow({...progress, row: event.row}, rules);
 		}
--- a/src/binding/index.ts
+++ b/src/binding/index.ts
@@ -73,3 +73,12 @@
 	type LedgerLimits,
 	type LedgerPhase,
 } from './ledger.js';
+export {
+	judgeClaim,
+	judgeKeyError,
+	judgeUnbound,
+	judgeUndecided,
+	type RefusedClaim,
+	type UnboundResult,
+	type Verdict,
+} from './verdict.js';
--- a/src/binding/ledger.ts
+++ b/src/binding/ledger.ts
@@ -12,7 +12,8 @@
 /** A whole answer as it was given to the caller. */
 export type KeptAnswer = {
 	readonly status: number;
-	readonly headers: Readonly<Record<string, string | readonly string[]>>;
+	/** Names and values in turn. */
+	readonly headers: readonly string[];
 	/** Absent when it was too large to keep. */
 	readonly body: Uint8Array | undefined;
 };
--- a/test/binding/ledger.test.ts
+++ b/test/binding/ledger.test.ts
@@ -24,7 +24,7 @@
 
 const limits = {keys: 2, bodyBytes: 100, bodyBytesPerKey: 60};
 const request = {keyId: 'k', fingerprint: 'f', expiresAt: 1000};
-const answer: KeptAnswer = {status: 201, headers: {}, body: Buffer.from('booked')};
+const answer: KeptAnswer = {status: 201, headers: [], body: Buffer.from('booked')};
 const home = {nodeId: 'north-1', incarnation: 'k3Yw'};
 
 type Case = {
