Use the node's control listener and clients for configuration

Cause: two modules for the same gRPC plumbing stood side by side. The one of the node stays; the aggregate now names what it needs of other nodes and leaves the asking to the node.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -1,12 +1,12 @@
 /** What the rest of a node sees of configuration. */
 import type {Result} from 'neverthrow';
-import type {ControlService} from '../control/index.js';
 import type {Member} from '../membership/index.js';
 import type {TableClient} from '../platform/index.js';
 import type {Acceptance} from './acceptance.js';
 import type {Change, ChangeError} from './change.js';
 import type {FoundService} from './document.js';
 import type {Head, Held} from './holding.js';
+import type {PeerService} from './peer-service.js';
 import type {ConfigurationPeers} from './peers.js';
 import type {Wait} from './readiness.js';
 import type {StoredConfiguration} from './stored.js';
@@ -30,7 +30,7 @@
 	/** Asks another node which versions it holds; `undefined` if it does not answer. */
 	readonly askHeads: (member: Member) => Promise<readonly Head[] | undefined>;
 	/** For the control listener. */
-	readonly service: ControlService;
+	readonly service: PeerService['service'];
 	/** The whole state for a dump. */
 	readonly dump: () => Record<string, unknown>;
 };
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -26,7 +26,8 @@
 } from './change.js';
 export {type Configuration, type ConfigurationOptions} from './configuration.js';
 export {type Head, type Held} from './holding.js';
-export {createConfigurationPeers, type ConfigurationPeers} from './peers.js';
+export {type ConfigurationPeers, type PeerAddress} from './peers.js';
+export {type PeerService} from './peer-service.js';
 export {waits, type Wait} from './readiness.js';
 export {type ChangeRecord, type StoredConfiguration} from './stored.js';
 export {createConfiguration} from './task.js';
--- a/src/configuration/peer-service.ts
+++ b/src/configuration/peer-service.ts
@@ -3,7 +3,6 @@
  * before the document reached this node waits here for it a little, so that documents follow
  * the gossip from node to node without a second try.
  */
-import type {ControlService} from '../control/index.js';
 import {
 	ConfigurationPeerService,
 	type ConfigurationPeerServer,
@@ -16,7 +15,11 @@
 const maximumWaiting = 256;
 
 export type PeerService = {
-	readonly service: ControlService;
+	/** For the control listener. */
+	readonly service: {
+		readonly definition: typeof ConfigurationPeerService;
+		readonly implementation: ConfigurationPeerServer;
+	};
 	/** Answers those who wait for the team's document, after it was applied. */
 	readonly release: (team: string) => void;
 };
@@ -45,7 +48,7 @@
 		waiting.set(team, answers);
 	};
 
-	const handlers: ConfigurationPeerServer = {
+	const implementation: ConfigurationPeerServer = {
 		compare(call, callback) {
 			const {digest} = state.holding;
 			const heads = call.request.digest === digest ? [] : listHeads(state.holding);
@@ -68,7 +71,7 @@
 		},
 	};
 	return {
-		service: {definition: ConfigurationPeerService, handlers},
+		service: {definition: ConfigurationPeerService, implementation},
 		release(team) {
 			for (const finish of waiting.get(team) ?? []) {
 				finish();
--- /dev/null
+++ b/src/node/configuration-peers.ts
@@ -0,0 +1,38 @@
+/** Asks other nodes for the versions and documents of configuration that they hold. */
+import type {ConfigurationPeers} from '../configuration/index.js';
+import {
+	ConfigurationPeerClient,
+	type CompareReply,
+	type FetchReply,
+} from '../generated/configuration.js';
+import {askNode, createControlClients} from './control.js';
+
+const compareTimeoutMilliseconds = 1000;
+const fetchTimeoutMilliseconds = 1500;
+
+/** Other nodes, until closed. */
+export type OpenConfigurationPeers = ConfigurationPeers & {readonly close: () => void};
+
+/** Creates the asking side of configuration. */
+export function createConfigurationPeers(): OpenConfigurationPeers {
+	const clients = createControlClients(ConfigurationPeerClient);
+	return {
+		async compare({host, controlPort}, digest) {
+			const client = clients.at(host, controlPort);
+			const reply = await askNode<CompareReply>((metadata, options, callback) => {
+				client.compare({digest}, metadata, options, callback);
+			}, compareTimeoutMilliseconds);
+			return reply && {isReady: reply.ready, heads: reply.heads};
+		},
+		async fetch({host, controlPort}, head) {
+			const client = clients.at(host, controlPort);
+			const reply = await askNode<FetchReply>((metadata, options, callback) => {
+				client.fetch(head, metadata, options, callback);
+			}, fetchTimeoutMilliseconds);
+			return reply === undefined || reply.version === 0
+				? undefined
+				: {team: head.team, ...reply};
+		},
+		close: clients.close,
+	};
+}
