--- a/stand-ins/server/run.ts
+++ b/stand-ins/server/run.ts
@@ -208,12 +208,13 @@
 	cutAfter: number,
 ): Generator<Uint8Array> {
 	const block = Buffer.from(digest.repeat(answerChunkBytes / digest.length));
-	for (let sent = 0; sent < length; sent += block.length) {
-		if (sent >= cutAfter) {
-			throw new Error('cut as the request asked');
-		}
+	const end = Math.min(length, cutAfter);
+	for (let sent = 0; sent < end; sent += block.length) {
+		yield block.subarray(0, Math.min(block.length, end - sent));
+	}
 
-		yield block.subarray(0, Math.min(block.length, length - sent));
+	if (end < length) {
+		throw new Error('cut as the request asked');
 	}
 }
 
--- a/test/support/mesh.ts
+++ b/test/support/mesh.ts
@@ -1,6 +1,7 @@
 /**
  * A small mesh of real processes: nodes, each with a stand-in server beside it.
  */
+import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {sendCall} from './http.js';
 import {
@@ -91,6 +92,28 @@
 	);
 }
 
+/** One request that a stand-in server began to run. */
+export type JournalEntry = {
+	readonly requestId: string;
+	readonly key: string;
+	readonly state: 'running' | 'completed' | 'cancelled' | 'failed';
+};
+
+/**
+ * Reads what the server beside a node has run, past the nodes.
+ *
+ * @param node the node beside the server
+ * @returns the journal in the order of the starts
+ */
+export async function readJournal(node: MeshNode): Promise<JournalEntry[]> {
+	const answer = await sendCall({
+		port: node.serverPort,
+		service: 'none',
+		path: '/stand-in/journal',
+	});
+	return JSON.parse(Buffer.from(answer.body).toString('utf8')) as JournalEntry[];
+}
+
 async function startMeshNode(
 	cleaner: Cleaner,
 	node: MeshNodeOptions,
