--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -17,10 +17,8 @@
 	type Turn,
 } from './decision.js';
 export {
-	fairnessModes,
 	findRankIndex,
 	type AdmissionPolicy,
-	type FairnessMode,
 	type GatePolicy,
 	type RankPolicy,
 } from './policy.js';
--- a/src/admission/policy.ts
+++ b/src/admission/policy.ts
@@ -10,21 +10,15 @@
 	readonly floorShare: number;
 };
 
-/** How the requests of one rank take turns. */
-export const fairnessModes = {
-	/** Callers take turns; a caller's own requests go by earliest deadline. */
-	caller: 'caller',
-	/** All requests of the rank go by earliest deadline, whoever sent them. */
-	deadline: 'deadline',
-} as const;
-
-export type FairnessMode = (typeof fairnessModes)[keyof typeof fairnessModes];
-
 /** How much may wait at a gate and how callers share. */
 export type AdmissionPolicy = {
 	/** Requests that may wait for each announced slot. */
 	readonly queuePerSlot: number;
-	readonly fairness: FairnessMode;
+	/**
+	 * Whether callers within a rank take turns; otherwise all requests of the rank go by earliest
+	 * deadline, whoever sent them.
+	 */
+	readonly fairness: boolean;
 };
 
 /** The part of a preset that a gate needs. */
--- a/src/admission/turns.ts
+++ b/src/admission/turns.ts
@@ -7,7 +7,6 @@
 } from './decision.js';
 import {estimateRetryAfter} from './estimate.js';
 import {chargeDispatch, chooseRank} from './floors.js';
-import {fairnessModes} from './policy.js';
 import {dequeue} from './rank-queue.js';
 import {countUsableSlots, type AdmissionState} from './state.js';
 
@@ -55,7 +54,7 @@
 	state: AdmissionState,
 	request: {readonly caller: string},
 ): string {
-	return state.policy.admission.fairness === fairnessModes.caller ? request.caller : '';
+	return state.policy.admission.fairness ? request.caller : '';
 }
 
 /**
--- a/test/admission/ranks.test.ts
+++ b/test/admission/ranks.test.ts
@@ -7,7 +7,6 @@
 	changePolicy,
 	createAdmission,
 	expire,
-	fairnessModes,
 	offer,
 	refusalReasons,
 	release,
@@ -81,7 +80,7 @@
 test('where callers are not told apart the earliest deadline goes first', () => {
 	const byDeadline = {
 		...policy,
-		admission: {queuePerSlot: 4, fairness: fairnessModes.deadline},
+		admission: {queuePerSlot: 4, fairness: false},
 	};
 	const state = createAdmission(byDeadline, 1);
 	offer(state, request('running', 'normal'), 0);
@@ -178,7 +177,7 @@
 			{name: 'idle', floorShare: 0},
 			{name: 'urgent', floorShare: 0},
 		],
-		admission: {queuePerSlot: 0, fairness: fairnessModes.deadline},
+		admission: {queuePerSlot: 0, fairness: false},
 	});
 	expect(release(state, 'running', end, 1).dispatch).toEqual(['idle']);
 	expect(cancel(state, 'urgent')).toEqual(true);
--- a/test/admission/support.ts
+++ b/test/admission/support.ts
@@ -1,6 +1,5 @@
 /** Shared pieces of the admission tests: policies, requests and a small closed gate. */
 import {
-	fairnessModes,
 	offer,
 	release,
 	type AdmissionRequest,
@@ -14,7 +13,7 @@
 		{name: 'normal', floorShare: 0.2},
 		{name: 'idle', floorShare: 0.1},
 	],
-	admission: {queuePerSlot: 4, fairness: fairnessModes.caller},
+	admission: {queuePerSlot: 4, fairness: true},
 };
 
 export function request(
