--- /dev/null
+++ b/bench/choice.ts
@@ -0,0 +1,64 @@
+/**
+ * Compares the ways of choosing a server under noisy neighbours, stale and false reports,
+ * stragglers and servers that fail at once: `npm run bench:choice [seconds] [seed]`. Times are
+ * simulated; JSON goes to the file named by the third argument.
+ */
+import {writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {choices, type RoutingPolicy} from '../src/routing/index.js';
+import {reportSources, runChoice, type ChoiceExperiment} from './choice-model.js';
+
+const policy: RoutingPolicy = {
+	choice: choices.adaptive,
+	candidates: 3,
+	ejectionShare: 0.2,
+	retryShare: 0.1,
+	hedgeShare: 0.05,
+	hedgeQuantile: 0.95,
+	crossRegionBytesPerSecond: 0,
+};
+
+const seconds = Number(process.argv[2] ?? 5);
+const seed = Number(process.argv[3] ?? 1);
+const file = process.argv[4];
+const loads = [0.5, 0.75, 0.9];
+const faults = [
+	...Object.values(reportSources).map(reports => ({reports, stragglers: 0, failing: 0})),
+	{reports: reportSources.gate, stragglers: 2, failing: 0},
+	{reports: reportSources.gate, stragglers: 0, failing: 2},
+];
+
+const rows = [];
+for (const fault of faults) {
+	for (const load of loads) {
+		for (const choice of Object.values(choices)) {
+			const experiment: ChoiceExperiment = {
+				...fault,
+				policy: {...policy, choice},
+				load,
+				seed,
+				durationMilliseconds: seconds * 1000,
+			};
+			const figures = runChoice(experiment);
+			rows.push({...fault, load, choice, seed, ...figures});
+			console.log(
+				[
+					fault.reports.padEnd(8),
+					`stragglers ${fault.stragglers}`,
+					`failing ${fault.failing}`,
+					`${Math.round(load * 100)}%`,
+					choice.padEnd(16),
+					`p50 ${figures.p50.toFixed(1).padStart(6)}`,
+					`p99 ${figures.p99.toFixed(1).padStart(7)}`,
+					`p99.9 ${figures.p999.toFixed(1).padStart(7)}`,
+					`missed ${(figures.missed * 100).toFixed(3).padStart(7)}%`,
+					`to failing ${(figures.toFailing * 100).toFixed(2).padStart(6)}%`,
+				].join('  '),
+			);
+		}
+	}
+}
+
+if (file !== undefined) {
+	writeFileSync(file, `${JSON.stringify(rows, undefined, 2)}\n`);
+}
--- a/src/routing/baselines.ts
+++ b/src/routing/baselines.ts
@@ -16,7 +16,7 @@
 		return allowed[service.nextTurn % Math.max(1, allowed.length)];
 	},
 	[choices.leastInFlight]: chooseLeastInFlight,
-	[choices.twoChoicesOnReports](_, allowed, random) {
+	[choices.twoChoices](_, allowed, random) {
 		const one = pickRandom(allowed, random);
 		const other = pickRandom(allowed, random);
 		return one && other && reportedLoad(other) < reportedLoad(one) ? other : one;
--- a/src/routing/policy.ts
+++ b/src/routing/policy.ts
@@ -5,11 +5,11 @@
 	/** Any server. */
 	random: 'random',
 	/** One after the other. */
-	roundRobin: 'roundRobin',
+	roundRobin: 'round-robin',
 	/** The server with the fewest requests in flight from this node. */
-	leastInFlight: 'leastInFlight',
+	leastInFlight: 'least-in-flight',
 	/** The better of two random servers by their last reports. */
-	twoChoicesOnReports: 'twoChoicesOnReports',
+	twoChoices: 'two-choices',
 	/** Near servers with a free slot by estimated latency; far ones when these are full. */
 	adaptive: 'adaptive',
 } as const;
