Let the own count weigh most, and reports by how well they foretell

The first choice rejected servers as hot by reported requests. Now a cost decides: expected latency, times reported load, times the square of own requests; and the reports of a service lose weight when answers come further from what they foretold than from a plain mean.

--- a/bench/choice-model.ts
+++ b/bench/choice-model.ts
@@ -23,7 +23,6 @@
 
 export const serverCount = 24;
 export const slotsPerServer = 10;
-const ingressCount = 12;
 const fixedServiceMilliseconds = 5;
 const variableServiceMilliseconds = 5;
 const pathMilliseconds = 0.5;
@@ -33,6 +32,8 @@
 const longestNoiseMilliseconds = 50;
 export const deadlineMilliseconds = 100;
 const reportLagMilliseconds = 100;
+const freezeMilliseconds = 500;
+const freezeEveryMilliseconds = 2000;
 const sampleEveryMilliseconds = 5;
 const warmupMilliseconds = 500;
 
@@ -42,7 +43,7 @@
 	gate: 'gate',
 	/** The server's own word, as it stood 100 ms before. */
 	lagging: 'lagging',
-	/** As lagging, and of 24 servers two say idle, two are frozen, two say double. */
+	/** The gate's count, but of 24 servers two say idle, two never change, two say double. */
 	lying: 'lying',
 } as const;
 
@@ -50,11 +51,15 @@
 
 export type ChoiceExperiment = {
 	readonly policy: RoutingPolicy;
+	/** Nodes that choose, each with its own view. */
+	readonly ingresses: number;
 	/** Share of the servers' capacity, noise taken off, that is offered. */
 	readonly load: number;
 	readonly reports: ReportSource;
 	/** Servers that are slow by the noise factor for the whole run. */
 	readonly stragglers: number;
+	/** Servers that stand still for half a second in every two. */
+	readonly freezing: number;
 	/** Servers that fail each request after one millisecond. */
 	readonly failing: number;
 	readonly seed: number;
@@ -154,7 +159,7 @@
 		incarnation: 1,
 		slots: slotsPerServer,
 	}));
-	const ingresses = Array.from({length: ingressCount}, (_, index) => {
+	const ingresses = Array.from({length: experiment.ingresses}, (_, index) => {
 		const view = createLoadView({
 			nodeId: `ingress-${index}`,
 			region: 'coast',
@@ -202,12 +207,13 @@
 function arrive(model: Model): void {
 	const {experiment, random} = model;
 	const slow = (noisyAtOnce + experiment.stragglers) * (1 - 1 / noisyFactor);
-	const sound = serverCount - experiment.failing - slow;
+	const still = (experiment.freezing * freezeMilliseconds) / freezeEveryMilliseconds;
+	const sound = serverCount - experiment.failing - slow - still;
 	const mean = fixedServiceMilliseconds + variableServiceMilliseconds;
 	const perMillisecond = (experiment.load * sound * slotsPerServer) / mean;
 	schedule(model, drawExponential(model, 1 / perMillisecond), () => {
 		arrive(model);
-		send(model, model.ingresses[Math.floor(random() * ingressCount)]!);
+		send(model, model.ingresses[Math.floor(random() * experiment.ingresses)]!);
 	});
 }
 
@@ -255,7 +261,7 @@
 	const factor = isStraggler || model.now < server.noisyUntil ? noisyFactor : 1;
 	const drawn =
 		fixedServiceMilliseconds + drawExponential(model, variableServiceMilliseconds);
-	const took = drawn * factor;
+	const took = drawn * factor + stillFor(model, server);
 	schedule(model, took, () => {
 		server.running -= 1;
 		server.serviceMilliseconds += (took - server.serviceMilliseconds) * 0.1;
@@ -285,6 +291,17 @@
 	});
 }
 
+/** How long a server that freezes still stands, from now. */
+function stillFor(model: Model, server: Server): number {
+	if (server.index >= model.experiment.freezing) {
+		return 0;
+	}
+
+	const intoCycle =
+		(model.now + server.index * freezeMilliseconds) % freezeEveryMilliseconds;
+	return Math.max(0, freezeMilliseconds - intoCycle);
+}
+
 function isFailing(model: Model, server: Server): boolean {
 	return server.index < model.experiment.failing;
 }
@@ -324,22 +341,22 @@
 
 function reportOf(model: Model, server: Server): LoadReport {
 	const {reports} = model.experiment;
-	if (reports === reportSources.gate) {
-		return countNow(server);
+	if (reports === reportSources.lagging) {
+		return server.past[0]!;
 	}
 
-	const lagging = server.past[0]!;
-	if (reports === reportSources.lagging || server.index >= 6) {
-		return lagging;
+	const counted = countNow(server);
+	if (reports === reportSources.gate || server.index >= 6) {
+		return counted;
 	}
 
 	if (server.index < 2) {
-		return {...lagging, inFlight: 0, queued: 0};
+		return {...counted, inFlight: 0, queued: 0, serviceMilliseconds: 1};
 	}
 
 	if (server.index < 4) {
 		return {inFlight: 3, queued: 0, serviceMilliseconds: 10, slots: slotsPerServer};
 	}
 
-	return {...lagging, inFlight: lagging.inFlight * 2, queued: lagging.queued * 2};
+	return {...counted, inFlight: counted.inFlight * 2, queued: counted.queued * 2};
 }
--- a/bench/choice.ts
+++ b/bench/choice.ts
@@ -10,7 +10,7 @@
 
 const policy: RoutingPolicy = {
 	choice: choices.adaptive,
-	candidates: 3,
+	candidates: 8,
 	ejectionShare: 0.2,
 	retryShare: 0.1,
 	hedgeShare: 0.05,
@@ -21,31 +21,36 @@
 const seconds = Number(process.argv[2] ?? 5);
 const seed = Number(process.argv[3] ?? 1);
 const file = process.argv[4];
-const loads = [0.5, 0.75, 0.9];
+const setups = [12, 96].flatMap(ingresses =>
+	[0.5, 0.75, 0.9].map(load => [ingresses, load] as const),
+);
+const sound = {stragglers: 0, failing: 0, freezing: 0};
 const faults = [
-	...Object.values(reportSources).map(reports => ({reports, stragglers: 0, failing: 0})),
-	{reports: reportSources.gate, stragglers: 2, failing: 0},
-	{reports: reportSources.gate, stragglers: 0, failing: 2},
+	...Object.values(reportSources).map(reports => ({...sound, reports})),
+	{...sound, reports: reportSources.gate, stragglers: 2},
+	{...sound, reports: reportSources.gate, failing: 2},
+	{...sound, reports: reportSources.gate, freezing: 2},
 ];
 
 const rows = [];
 for (const fault of faults) {
-	for (const load of loads) {
+	for (const [ingresses, load] of setups) {
 		for (const choice of Object.values(choices)) {
 			const experiment: ChoiceExperiment = {
 				...fault,
 				policy: {...policy, choice},
+				ingresses,
 				load,
 				seed,
 				durationMilliseconds: seconds * 1000,
 			};
 			const figures = runChoice(experiment);
-			rows.push({...fault, load, choice, seed, ...figures});
+			rows.push({...fault, ingresses, load, choice, seed, ...figures});
 			console.log(
 				[
 					fault.reports.padEnd(8),
-					`stragglers ${fault.stragglers}`,
-					`failing ${fault.failing}`,
+					describeFault(fault),
+					`${ingresses} ingresses`.padStart(12),
 					`${Math.round(load * 100)}%`,
 					choice.padEnd(16),
 					`p50 ${figures.p50.toFixed(1).padStart(6)}`,
@@ -62,3 +67,8 @@
 if (file !== undefined) {
 	writeFileSync(file, `${JSON.stringify(rows, undefined, 2)}\n`);
 }
+
+function describeFault(fault: (typeof faults)[number]): string {
+	const {stragglers, failing, freezing} = fault;
+	return `slow ${stragglers} failing ${failing} freezing ${freezing}`;
+}
--- /dev/null
+++ b/bench/decisions.ts
@@ -0,0 +1,195 @@
+/**
+ * Microseconds that one decision takes: `npm run bench:decisions [file]`. Baselines and product
+ * run in the same process, in turns; each figure is the median of several rounds.
+ */
+import {writeFileSync} from 'node:fs';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {createAdmission, offer, release} from '../src/admission/index.js';
+import {
+	arrangeService,
+	attemptEnds,
+	choices,
+	chooseServer,
+	createLoadView,
+	decodeLoadReport,
+	encodeLoadReport,
+	recordResult,
+	recordSent,
+	type Choice,
+} from '../src/routing/index.js';
+import {createRandom} from './choice-model.js';
+
+const rounds = 9;
+const repeats = 50_000;
+const serverCount = 24;
+const end = {serviceMilliseconds: 10};
+
+/** One decision, made `repeats` times. */
+type Case = {readonly name: string; readonly run: () => void};
+
+function createChoiceCase(choice: Choice, candidates: number): Case {
+	const random = createRandom(1);
+	const view = createLoadView({nodeId: 'self', region: 'a', failureDomain: 'a-1'});
+	const members = Array.from({length: serverCount}, (_, index) => ({
+		nodeId: `node-${index}`,
+		region: 'a',
+		failureDomain: 'a-1',
+		incarnation: 1,
+		slots: 10,
+	}));
+	const service = arrangeService(view, 'availability', members, 0);
+	const request = {
+		policy: {
+			choice,
+			candidates,
+			ejectionShare: 0.2,
+			retryShare: 0.1,
+			hedgeShare: 0.05,
+			hedgeQuantile: 0.95,
+			crossRegionBytesPerSecond: 0,
+		},
+		rankIndex: 0,
+		rankCount: 3,
+		bytes: 500,
+		excluded: new Set<string>(),
+		random,
+	};
+	let now = 0;
+	return {
+		name: `choose and learn: ${choice}, ${candidates} of ${serverCount}`,
+		run() {
+			now += 0.1;
+			const server = chooseServer(view, service, request, now)!;
+			recordSent(server, now);
+			const report = {
+				inFlight: Math.floor(random() * 10),
+				queued: 0,
+				serviceMilliseconds: 10,
+				slots: 10,
+			};
+			const result = {end: attemptEnds.answered, latencyMilliseconds: 10, report};
+			recordResult(service, server, result, now);
+		},
+	};
+}
+
+const policy = {
+	ranks: [
+		{name: 'urgent', floorShare: 0},
+		{name: 'normal', floorShare: 0.2},
+		{name: 'idle', floorShare: 0.1},
+	],
+	admission: {queuePerSlot: 4, fairness: true},
+};
+
+function createRequest(id: string, deadlineAt: number) {
+	return {id, rank: 'idle', caller: 'caller', deadlineAt};
+}
+
+function createIdleGateCase(): Case {
+	const state = createAdmission(policy, 10);
+	let sequence = 0;
+	return {
+		name: 'admit and release at an idle gate',
+		run() {
+			sequence += 1;
+			const id = `${sequence}`;
+			offer(state, createRequest(id, Number.POSITIVE_INFINITY), sequence);
+			release(state, id, end, sequence);
+		},
+	};
+}
+
+function createBusyGateCase(): Case {
+	const state = createAdmission(policy, 10);
+	let sequence = 0;
+	let oldest = 0;
+	return {
+		name: 'queue, release and dispatch at a busy gate',
+		run() {
+			while (sequence < oldest + 30) {
+				sequence += 1;
+				offer(state, createRequest(`${sequence}`, Number.POSITIVE_INFINITY), sequence);
+			}
+
+			oldest += 1;
+			release(state, `${oldest}`, end, sequence);
+		},
+	};
+}
+
+function createRefusalCase(name: string, deadlineMilliseconds: number): Case {
+	const state = createAdmission(policy, 10);
+	let sequence = 0;
+	for (; sequence < 50; sequence += 1) {
+		offer(state, createRequest(`${sequence}`, Number.POSITIVE_INFINITY), 0);
+	}
+
+	return {
+		name,
+		run() {
+			sequence += 1;
+			offer(state, createRequest(`${sequence}`, deadlineMilliseconds), 0);
+		},
+	};
+}
+
+const cases: readonly Case[] = [
+	createChoiceCase(choices.random, 1),
+	createChoiceCase(choices.leastInFlight, serverCount),
+	createChoiceCase(choices.twoChoices, 2),
+	createChoiceCase(choices.adaptive, 3),
+	createChoiceCase(choices.adaptive, 8),
+	createChoiceCase(choices.adaptive, serverCount),
+	createIdleGateCase(),
+	createBusyGateCase(),
+	createRefusalCase('refuse: the queue is full', Number.POSITIVE_INFINITY),
+	createRefusalCase('refuse: too late', 1),
+	{
+		name: 'encode and decode a load report',
+		run() {
+			const load = {inFlight: 7, queued: 3, serviceMilliseconds: 12.3, slots: 10};
+			decodeLoadReport(encodeLoadReport(load));
+		},
+	},
+];
+
+function timeOnce(run: () => void): number {
+	const started = performance.now();
+	for (let repeat = 0; repeat < repeats; repeat += 1) {
+		run();
+	}
+
+	return ((performance.now() - started) * 1000) / repeats;
+}
+
+const times = cases.map((): number[] => []);
+for (let round = 0; round <= rounds; round += 1) {
+	for (const [index, {run}] of cases.entries()) {
+		const microseconds = timeOnce(run);
+		// The first round warms the compiler up.
+		if (round > 0) {
+			times[index]!.push(microseconds);
+		}
+	}
+}
+
+const rows = cases.map(({name}, index) => {
+	const sorted = times[index]!.toSorted((one, other) => one - other);
+	return {
+		name,
+		medianMicroseconds: sorted[Math.floor(sorted.length / 2)]!,
+		highestMicroseconds: sorted.at(-1)!,
+	};
+});
+for (const {name, medianMicroseconds, highestMicroseconds} of rows) {
+	console.log(
+		`${name.padEnd(50)} ${medianMicroseconds.toFixed(2).padStart(7)} µs, highest round ${highestMicroseconds.toFixed(2)} µs`,
+	);
+}
+
+const file = process.argv[2];
+if (file !== undefined) {
+	writeFileSync(file, `${JSON.stringify(rows, undefined, 2)}\n`);
+}
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -3,7 +3,7 @@
 import {chooseByBaseline} from './baselines.js';
 import {isUsable, reviewServers} from './ejection.js';
 import {choices, type RoutingPolicy} from './policy.js';
-import {estimateLatency, estimateRequests} from './score.js';
+import {estimateCost, estimateRequests} from './score.js';
 import {type LoadView, type ServerView, type ServiceView} from './view.js';
 
 /** Picks for each candidate wanted before the choice makes do with fewer. */
@@ -29,14 +29,14 @@
 	readonly request: ChoiceRequest;
 	readonly now: number;
 	server: ServerView | undefined;
-	latencyMilliseconds: number;
+	/** Milliseconds, as `estimateCost` gives them. */
+	cost: number;
 	/** Requests per slot. */
 	load: number;
 };
 
 /**
- * Chooses a server. Near servers come first: those with a free slot by estimated latency, else
- * the one with the fewest requests per slot. A far server is taken only if it has a free slot,
+ * Chooses a server. Near servers come first, by estimated cost. A far server is taken only if it has a free slot,
  * no near one has, and the budget between regions allows it for the call's rank.
  *
  * @param view changed in place: bytes to other regions are booked
@@ -87,7 +87,7 @@
 }
 
 function createSearch(service: ServiceView, request: ChoiceRequest, now: number): Search {
-	return {service, request, now, server: undefined, latencyMilliseconds: 0, load: 0};
+	return {service, request, now, server: undefined, cost: 0, load: 0};
 }
 
 function findBest(search: Search, servers: readonly ServerView[]): Search {
@@ -142,20 +142,10 @@
 	const {service, now} = search;
 	const requests = estimateRequests(service, server, now);
 	const load = requests / Math.max(1, server.slots);
-	const latencyMilliseconds = estimateLatency(service, server, requests, now);
-	if (search.server === undefined || isBetter(load, latencyMilliseconds, search)) {
+	const cost = estimateCost(service, server, requests, now);
+	if (search.server === undefined || cost < search.cost) {
 		search.server = server;
 		search.load = load;
-		search.latencyMilliseconds = latencyMilliseconds;
+		search.cost = cost;
 	}
 }
-
-function isBetter(load: number, latencyMilliseconds: number, best: Search): boolean {
-	const isHot = load >= 1;
-	const isBestHot = best.load >= 1;
-	if (isHot !== isBestHot) {
-		return isBestHot;
-	}
-
-	return isHot ? load < best.load : latencyMilliseconds < best.latencyMilliseconds;
-}
--- a/src/routing/learning.ts
+++ b/src/routing/learning.ts
@@ -11,11 +11,12 @@
 const typicalLatencyWeight = 0.02;
 const typicalLoadWeight = 0.02;
 const failureWeight = 0.1;
+const errorWeight = 0.01;
 const trustGain = 0.05;
 const trustLossFactor = 0.8;
 /** How far an answer may be from what the report foretold before the report loses weight. */
 const foretoldFactor = 3;
-const foretoldSlackMilliseconds = 2;
+const pathSlackMilliseconds = 1;
 /** Reports alike in a row, while this node's own count moved, that count as frozen. */
 const frozenReports = 6;
 /** Requests still on the path that a gate can't have counted yet. */
@@ -50,7 +51,7 @@
 	now: number,
 ): void {
 	if (result.end === attemptEnds.answered) {
-		judgeReport(server, result.latencyMilliseconds);
+		judgeReport(service, server, result.latencyMilliseconds);
 		learnLatency(service, server, result.latencyMilliseconds);
 	}
 
@@ -110,20 +111,41 @@
 }
 
 /** A report gains weight when the answer came as it foretold, and loses weight otherwise. */
-function judgeReport(server: ServerView, latencyMilliseconds: number): void {
+function judgeReport(
+	service: ServiceView,
+	server: ServerView,
+	latencyMilliseconds: number,
+): void {
 	if (server.report === undefined) {
 		return;
 	}
 
 	const {inFlight, queued, serviceMilliseconds, slots} = server.report;
 	const rounds = Math.max(1, (inFlight + queued) / Math.max(1, slots));
-	const foretold = serviceMilliseconds * rounds + foretoldSlackMilliseconds;
+	const foretold = serviceMilliseconds * rounds + pathSlackMilliseconds;
 	const isFar =
 		latencyMilliseconds > foretold * foretoldFactor ||
 		latencyMilliseconds * foretoldFactor < foretold;
 	server.trust = isFar
 		? server.trust * trustLossFactor
 		: server.trust + (1 - server.trust) * trustGain;
+	learnErrors(service, latencyMilliseconds, foretold);
+}
+
+/** Errors are capped, so that one long answer doesn't drown what the others tell. */
+function learnErrors(
+	service: ServiceView,
+	latencyMilliseconds: number,
+	foretold: number,
+): void {
+	const typical = service.typicalLatencyMilliseconds;
+	const cap = typical * foretoldFactor;
+	const reportError = Math.min(cap, Math.abs(latencyMilliseconds - foretold));
+	const plainError = Math.min(cap, Math.abs(latencyMilliseconds - typical));
+	service.reportErrorMilliseconds +=
+		(reportError - service.reportErrorMilliseconds) * errorWeight;
+	service.plainErrorMilliseconds +=
+		(plainError - service.plainErrorMilliseconds) * errorWeight;
 }
 
 function learnLatency(
--- a/src/routing/score.ts
+++ b/src/routing/score.ts
@@ -1,7 +1,8 @@
 /**
  * How good a server looks now: how many requests it probably has, and how long one more would
- * probably take there. A report counts less the older it is and the worse it foretold; what
- * remains is what the service's servers are like on the whole, and this node's own count.
+ * probably take there. This node's own count weighs most, since it is never old. A report counts
+ * less the older it is, the worse it foretold its server's answers, and the worse all reports of
+ * the service did; what remains is what the service's servers are like on the whole.
  */
 import {distances, type Distance, type ServerView, type ServiceView} from './view.js';
 
@@ -10,6 +11,10 @@
 /** Time after which a server's own latency counts for a third against its peers'. */
 const latencyLifeMilliseconds = 200;
 const failurePenaltyFactor = 20;
+/** How much worse than a plain mean reports may foretell before they lose all weight. */
+const worstErrorRatio = 1.1;
+const errorRatioSpan = 0.2;
+const smallestSkill = 0.1;
 const pathMilliseconds: Readonly<Record<Distance, number>> = {
 	[distances.failureDomain]: 0,
 	[distances.region]: 1,
@@ -34,7 +39,7 @@
 		return Math.max(server.ownInFlight, typical);
 	}
 
-	const weight = weighReport(server, now);
+	const weight = weighReport(service, server, now);
 	const sinceReport = server.ownInFlight - server.ownInFlightAtReport;
 	const reported = server.report.inFlight + server.report.queued + sinceReport;
 	const estimate = reported * weight + typical * (1 - weight);
@@ -42,30 +47,46 @@
 }
 
 /**
- * Estimates how long one more request would take at a server.
+ * Weighs what one more request would cost at a server: the expected latency, raised by the square
+ * of this node's own requests there, so that servers which look alike share them out.
  *
  * @param service the service's view
  * @param server the server
  * @param requests what `estimateRequests` says of it
  * @param now monotonic time in milliseconds
- * @returns the latency in milliseconds, errors counted as long waits
+ * @returns a cost in milliseconds; less is better
  */
-export function estimateLatency(
+export function estimateCost(
 	service: ServiceView,
 	server: ServerView,
 	requests: number,
 	now: number,
 ): number {
-	const rounds = Math.max(1, (requests + 1) / Math.max(1, server.slots));
-	const expected = estimateService(service, server, now) * rounds;
+	const load = requests / Math.max(1, server.slots);
+	const expected = estimateService(service, server, now) * (1 + load);
 	const silence = server.ownInFlight > 0 ? now - server.silentSince : 0;
 	const failurePenalty = 1 + server.failureShare * failurePenaltyFactor;
-	return Math.max(expected, silence) * failurePenalty + pathMilliseconds[server.distance];
+	const crowding = (1 + server.ownInFlight) ** 2;
+	const latency = Math.max(expected, silence) * failurePenalty;
+	return latency * crowding + pathMilliseconds[server.distance];
 }
 
 /** The weight of a server's last report, 0 to 1. */
-function weighReport(server: ServerView, now: number): number {
-	return server.trust * Math.exp((server.reportedAt - now) / reportLifeMilliseconds);
+function weighReport(service: ServiceView, server: ServerView, now: number): number {
+	const age = now - server.reportedAt;
+	const freshness = Math.exp(-age / reportLifeMilliseconds);
+	return server.trust * freshness * weighSkill(service);
+}
+
+/** What reports of the service are worth at all: how they foretell against a plain mean. */
+function weighSkill(service: ServiceView): number {
+	if (service.plainErrorMilliseconds === 0) {
+		return 1;
+	}
+
+	const ratio = service.reportErrorMilliseconds / service.plainErrorMilliseconds;
+	const skill = (worstErrorRatio - ratio) / errorRatioSpan;
+	return Math.min(1, Math.max(smallestSkill, skill));
 }
 
 function estimateService(service: ServiceView, server: ServerView, now: number): number {
@@ -76,6 +97,6 @@
 		return own;
 	}
 
-	const weight = weighReport(server, now);
+	const weight = weighReport(service, server, now);
 	return server.report.serviceMilliseconds * weight + own * (1 - weight);
 }
--- a/src/routing/view.ts
+++ b/src/routing/view.ts
@@ -82,6 +82,10 @@
 	typicalLatencyMilliseconds: number;
 	/** Moving mean of reported requests per slot. */
 	typicalLoad: number;
+	/** Moving mean of how far answers were from what reports foretold. */
+	reportErrorMilliseconds: number;
+	/** Moving mean of how far answers were from the typical latency. */
+	plainErrorMilliseconds: number;
 	nextReviewAt: number;
 	nextTurn: number;
 };
@@ -156,6 +160,8 @@
 		far: [],
 		typicalLatencyMilliseconds: startingLatencyMilliseconds,
 		typicalLoad: 0,
+		reportErrorMilliseconds: 0,
+		plainErrorMilliseconds: 0,
 		nextReviewAt: Number.NEGATIVE_INFINITY,
 		nextTurn: 0,
 	};
