Run calls apart from the connection that brought them

Cause: a keyed call is run by the home of its key, where no caller's connection exists; the loop of attempts lived inside the ingress and wrote to the caller itself. The runner now gives one result, the ingress writes it.

--- a/src/node/ingress.ts
+++ b/src/node/ingress.ts
@@ -13,43 +13,25 @@
 	attemptResultKinds,
 	copyEndToEndHeaders,
 	createRefusal,
-	decideNextStep,
 	isWhole,
-	nextSequence,
-	nextStepKinds,
 	outcomes,
 	parseCallHead,
 	refusalKinds,
-	type AttemptId,
-	type AttemptRequest,
 	type AttemptResult,
-	type Body,
 	type CallHead,
 	type CallPolicy,
-	type RunningAttempt,
 } from '../call/index.js';
-import type {Member} from '../membership/index.js';
 import {writeAnswer, writeRefusal} from './answer.js';
+import type {CallRequest, RunCall} from './call-runner.js';
 import {refuseMalformed} from './malformed-request.js';
 import {hasSmallBody, readSmallBody} from './request-body.js';
 
 /** What the ingress needs of the node around it. */
 export type IngressOptions = {
-	/** Names this life of the node in its attempts. */
-	readonly ingressName: string;
-	/** Wall clock in milliseconds; it only spaces the numbers of attempts. */
-	readonly wallClock: () => number;
 	/** Present time, milliseconds of the monotonic clock. */
 	readonly now: () => number;
 	readonly findPolicy: (service: string) => CallPolicy | undefined;
-	/** Picks a member for the next attempt, or `undefined` when none is left. */
-	readonly choose: (head: CallHead, excluded: ReadonlySet<string>) => Member | undefined;
-	/** Runs an attempt at a member's gate, this node's own included. */
-	readonly send: (member: Member, request: AttemptRequest) => RunningAttempt;
-	/** Asks a gate to cancel an attempt; true only if it was never and will never be dispatched. */
-	readonly confirmNotRun: (member: Member, id: AttemptId) => Promise<boolean>;
-	/** Whether the retry budget of a service grants one more attempt. */
-	readonly grantRetry: (head: CallHead) => boolean;
+	readonly runCall: RunCall;
 };
 
 export type Ingress = {
@@ -68,27 +50,6 @@
 	readonly leaving: boolean;
 };
 
-/** A call under way. */
-type Call = {
-	readonly head: CallHead;
-	readonly headers: readonly string[];
-	readonly body: Body;
-	readonly response: ServerResponse;
-	readonly excluded: Set<string>;
-	attempts: number;
-	mayHaveRun: boolean;
-	running: RunningAttempt | undefined;
-	finished: boolean;
-};
-
-type Attempted = {
-	readonly member: Member;
-	readonly id: AttemptId;
-	readonly result: AttemptResult;
-};
-
-/** A gate refuses in time by itself; the ingress waits this much longer before it gives up. */
-const deadlineGraceMilliseconds = 20;
 const headTimeoutMilliseconds = 10_000;
 const idleConnectionMilliseconds = 60_000;
 const headLimitBytes = 16_384;
@@ -111,7 +72,6 @@
 	const idleWaiters: Array<() => void> = [];
 	let inFlight = 0;
 	let calls = 0;
-	let sequence = 0;
 	let leaving = false;
 
 	function receive(request: IncomingMessage, response: ServerResponse): void {
@@ -158,116 +118,21 @@
 	): void {
 		const headers = copyEndToEndHeaders(request.rawHeaders);
 		if (!hasSmallBody(request)) {
-			startCall(createCall(head, headers, request, response));
+			startCall({head, headers, body: request}, response);
 			return;
 		}
 
 		readSmallBody(request, body => {
-			startCall(createCall(head, headers, body, response));
+			startCall({head, headers, body}, response);
 		});
 	}
 
-	function startCall(call: Call): void {
-		const timer = setTimeout(
-			() => {
-				expire(call);
-			},
-			call.head.deadlineAt - options.now() + deadlineGraceMilliseconds,
-		);
-		call.response.once('close', () => {
-			clearTimeout(timer);
-			call.finished = true;
-			call.running?.cancel();
+	function startCall(request: CallRequest, response: ServerResponse): void {
+		const running = options.runCall(request);
+		response.once('close', running.cancel);
+		void running.result.then(result => {
+			finishCall(response, result);
 		});
-		tryNext(call);
-	}
-
-	/** A large body is bounded by its progress, not by the deadline. */
-	function expire(call: Call): void {
-		if (isWhole(call.body)) {
-			call.running?.cancel();
-		}
-	}
-
-	function tryNext(call: Call): void {
-		const member = options.choose(call.head, call.excluded);
-		if (member === undefined) {
-			const refusal = createRefusal(
-				refusalKinds.noServer,
-				`no server of ${call.head.service} can take the request: try again shortly`,
-			);
-			finishRefused(call, refusal, call.mayHaveRun ? outcomes.unknown : outcomes.notRun);
-			return;
-		}
-
-		void attempt(call, member);
-	}
-
-	async function attempt(call: Call, member: Member): Promise<void> {
-		sequence = nextSequence(sequence, options.wallClock());
-		const id = {ingress: options.ingressName, sequence};
-		call.attempts += 1;
-		call.excluded.add(member.nodeId);
-		const running = options.send(member, createAttempt(call, id));
-		call.running = running;
-		const result = await running.result;
-		call.running = undefined;
-		follow(call, {member, id, result}, false);
-	}
-
-	function follow(call: Call, attempted: Attempted, confirmed: boolean): void {
-		const {result} = attempted;
-		if (call.finished) {
-			discard(result);
-			return;
-		}
-
-		const progress = {
-			attempts: call.attempts,
-			mayHaveRun: call.mayHaveRun,
-			replayable: isReplayable(call.body),
-			confirmed,
-			retryGranted:
-				result.kind === attemptResultKinds.answered || options.grantRetry(call.head),
-		};
-		const step = decideNextStep(call.head, result, progress, options.now());
-		switch (step.kind) {
-			case nextStepKinds.answer: {
-				finishAnswered(call, result);
-				return;
-			}
-
-			case nextStepKinds.refuse: {
-				finishRefused(call, step.refusal, step.outcome);
-				return;
-			}
-
-			case nextStepKinds.confirm: {
-				void confirm(call, attempted);
-				return;
-			}
-
-			case nextStepKinds.retry: {
-				call.mayHaveRun ||= mayHaveRun(result);
-				tryNext(call);
-			}
-		}
-	}
-
-	async function confirm(call: Call, attempted: Attempted): Promise<void> {
-		const notRun = await options.confirmNotRun(attempted.member, attempted.id);
-		const result: AttemptResult = notRun
-			? {
-					kind: attemptResultKinds.refused,
-					refusal: createRefusal(
-						refusalKinds.cancelled,
-						'the request was withdrawn before it reached a server: send it again',
-					),
-					outcome: outcomes.notRun,
-					load: undefined,
-				}
-			: attempted.result;
-		follow(call, {...attempted, result}, true);
 	}
 
 	server.on('request', receive);
@@ -290,71 +155,30 @@
 	};
 }
 
-function createCall(
-	head: CallHead,
-	headers: readonly string[],
-	body: Body,
-	response: ServerResponse,
-): Call {
-	return {
-		head,
-		headers,
-		body,
-		response,
-		excluded: new Set(),
-		attempts: 0,
-		mayHaveRun: false,
-		running: undefined,
-		finished: false,
-	};
-}
-
-function createAttempt(call: Call, id: AttemptId): AttemptRequest {
-	const {head} = call;
-	return {
-		id,
-		service: head.service,
-		method: head.method,
-		path: head.path,
-		headers: call.headers,
-		body: call.body,
-		rank: head.rank,
-		caller: head.caller,
-		deadlineAt: head.deadlineAt,
-		idempotent: head.idempotent,
-		retries: head.retries + call.attempts - 1,
-	};
-}
-
-function isReplayable(body: Body): boolean {
-	return isWhole(body) || !body.readableDidRead;
-}
-
-function mayHaveRun(result: AttemptResult): boolean {
-	if (result.kind === attemptResultKinds.refused) {
-		return result.outcome !== outcomes.notRun;
+function finishCall(response: ServerResponse, result: AttemptResult): void {
+	if (response.closed) {
+		discard(result);
+		return;
 	}
 
-	return true;
-}
-
-function finishAnswered(call: Call, result: AttemptResult): void {
-	call.finished = true;
 	if (result.kind === attemptResultKinds.answered) {
-		writeAnswer(call.response, result);
+		writeAnswer(response, result);
+		return;
+	}
+
+	if (result.kind === attemptResultKinds.refused) {
+		writeRefusal(response, result.refusal, result.outcome);
+		return;
 	}
-}
 
-function finishRefused(
-	call: Call,
-	refusal: Parameters<typeof writeRefusal>[1],
-	outcome: Parameters<typeof writeRefusal>[2],
-): void {
-	call.finished = true;
-	writeRefusal(call.response, refusal, outcome);
+	const refusal = createRefusal(
+		refusalKinds.serverFailed,
+		`contact was lost (${result.message}): send idempotent requests again`,
+	);
+	writeRefusal(response, refusal, outcomes.unknown);
 }
 
-/** A late answer nobody waits for: its stream is closed so that its connection is freed. */
+/** An answer nobody waits for: its stream is closed so that its connection is freed. */
 function discard(result: AttemptResult): void {
 	if (result.kind === attemptResultKinds.answered && !isWhole(result.body)) {
 		result.body.destroy();
--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -16,6 +16,7 @@
 	serverHealths,
 	type Announced,
 } from './announcements.js';
+import {createCallRunner} from './call-runner.js';
 import {createFixedDirectory, type Directory} from './directory.js';
 import {createGate, type Gate} from './gate.js';
 import {createIngress, type Ingress} from './ingress.js';
@@ -151,11 +152,10 @@
 function createNodeIngress(parts: IngressParts): Ingress {
 	const {settings, directory, gate, peers, canceller} = parts;
 	const self = directory.self();
-	return createIngress({
+	const runCall = createCallRunner({
 		ingressName: formatIngress(self.nodeId, self.incarnation),
 		wallClock: Date.now,
 		now,
-		findPolicy: service => settings.services[service],
 		choose: (head, excluded) =>
 			directory.membersOf(head.service).find(member => !excluded.has(member.nodeId)),
 		send: (member, request) =>
@@ -163,6 +163,7 @@
 		confirmNotRun: canceller.confirmNotRun,
 		grantRetry: () => true,
 	});
+	return createIngress({now, findPolicy: service => settings.services[service], runCall});
 }
 
 function applyAnnouncement(
