--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -39,6 +39,13 @@
 			administration: portSchema,
 		})
 		.superRefine(refuseSharedPorts),
+	/** Ports under which other nodes reach this one, where they are not those it listens on. */
+	advertise: z
+		.strictObject({
+			peer: portSchema.min(1).optional(),
+			control: portSchema.min(1).optional(),
+		})
+		.prefault({}),
 	/** Addresses of other nodes' control listeners, `host:port`. */
 	seeds: z.array(z.string().regex(addressPattern, 'use host:port')).default([]),
 	/** Other nodes, until they are found by membership. */
