Refuse slow, late and malformed requests as not run, and never for a call in flight

A table of bad input to the data listener, run against real processes, found six faults: - A deadline of 0 was run. It is refused on arrival. - A small body that stops short held its call for ever. It is refused at the deadline; no byte of it has gone to a server by then. - A head that never ends was looked at only every 30 s by Node's default; now every second. - CONNECT closed the connection without an answer. - Malformed bytes behind a call in flight were answered 400 not-run on the same connection, which the caller takes for the answer to its call, though that call ran. The connection is closed instead, so that the caller knows nothing. - A chunked body that breaks off was told not-run though its first part may have reached a server. It is told unknown.

--- a/src/call/head.ts
+++ b/src/call/head.ts
@@ -102,6 +102,15 @@
 		);
 	}
 
+	if (remaining === 0) {
+		return err(
+			createRefusal(
+				refusalKinds.deadlineExceeded,
+				'the deadline had passed on arrival: allow more time',
+			),
+		);
+	}
+
 	const retries = readWholeNumber(received, headerNames.retries, 0);
 	if (retries === undefined) {
 		return err(malformed(`${headerNames.retries} must be a whole number`));
--- a/src/node/ingress.ts
+++ b/src/node/ingress.ts
@@ -24,6 +24,7 @@
 import {writeAnswer, writeRefusal} from './answer.js';
 import type {CallRequest, RunCall} from './call-runner.js';
 import {refuseMalformed} from './malformed-request.js';
+import {createOpenCalls} from './open-calls.js';
 import {hasSmallBody, readSmallBody} from './request-body.js';
 
 /** What the ingress needs of the node around it. */
@@ -51,6 +52,7 @@
 };
 
 const headTimeoutMilliseconds = 10_000;
+const slowHeadCheckMilliseconds = 1000;
 const idleConnectionMilliseconds = 60_000;
 const headLimitBytes = 16_384;
 
@@ -64,11 +66,13 @@
 	const server = createServer({
 		keepAliveTimeout: idleConnectionMilliseconds,
 		headersTimeout: headTimeoutMilliseconds,
+		connectionsCheckingInterval: slowHeadCheckMilliseconds,
 		// A large upload may be slow; a request is bounded by its deadline instead.
 		requestTimeout: 0,
 		maxHeaderSize: headLimitBytes,
 		noDelay: true,
 	});
+	const openCalls = createOpenCalls();
 	const idleWaiters: Array<() => void> = [];
 	let inFlight = 0;
 	let calls = 0;
@@ -78,6 +82,7 @@
 		calls += 1;
 		inFlight += 1;
 		response.once('close', settleCall);
+		openCalls.open(request, response);
 		if (leaving) {
 			response.shouldKeepAlive = false;
 		}
@@ -122,8 +127,13 @@
 			return;
 		}
 
+		const remaining = head.deadlineAt - options.now();
+		const stopWatching = watchSlowBody(request, response, remaining);
 		readSmallBody(request, body => {
-			startCall({head, headers, body}, response);
+			stopWatching?.();
+			if (!response.headersSent) {
+				startCall({head, headers, body}, response);
+			}
 		});
 	}
 
@@ -136,7 +146,16 @@
 	}
 
 	server.on('request', receive);
-	server.on('clientError', refuseMalformed);
+	server.on('clientError', (error, socket) => {
+		refuseMalformed(error, socket, openCalls.findUse(socket));
+	});
+	server.on('connect', (_request, socket) => {
+		refuseMalformed(
+			new Error('tunnels are not served'),
+			socket,
+			openCalls.findUse(socket),
+		);
+	});
 	return {
 		server,
 		setLeaving() {
@@ -184,3 +203,32 @@
 		result.body.destroy();
 	}
 }
+
+/** No byte of a small body goes to a server before the whole of it has come. */
+function watchSlowBody(
+	request: IncomingMessage,
+	response: ServerResponse,
+	remainingMilliseconds: number,
+): (() => void) | undefined {
+	const length = request.headers['content-length'];
+	if (length === undefined || length === '0') {
+		return undefined;
+	}
+
+	const timer = setTimeout(refuseSlowBody, remainingMilliseconds, response);
+	const stop = (): void => {
+		clearTimeout(timer);
+	};
+
+	response.once('close', stop);
+	return stop;
+}
+
+function refuseSlowBody(response: ServerResponse): void {
+	response.shouldKeepAlive = false;
+	const refusal = createRefusal(
+		refusalKinds.deadlineExceeded,
+		'the body did not come before the deadline: send it whole, or allow more time',
+	);
+	writeRefusal(response, refusal, outcomes.notRun);
+}
--- a/src/node/malformed-request.ts
+++ b/src/node/malformed-request.ts
@@ -4,7 +4,8 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Duplex} from 'node:stream';
-import {headerNames, outcomes, refusalKinds} from '../call/index.js';
+import {headerNames, outcomes, refusalKinds, type Outcome} from '../call/index.js';
+import {connectionUses, type ConnectionUse} from './open-calls.js';
 
 const statusOfCode: ReadonlyMap<string, string> = new Map([
 	['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
@@ -16,26 +17,38 @@
  *
  * @param error the parser's error
  * @param socket the caller's connection
+ * @param use what is open on the connection
  */
-export function refuseMalformed(error: Error & {code?: string}, socket: Duplex): void {
-	if (!socket.writable || error.code === 'ECONNRESET') {
+export function refuseMalformed(
+	error: Error & {code?: string},
+	socket: Duplex,
+	use: ConnectionUse,
+): void {
+	const isMute = !socket.writable || error.code === 'ECONNRESET';
+	if (isMute || use === connectionUses.answering) {
 		socket.destroy();
 		return;
 	}
 
+	// Part of a body may have reached a server before the rest turned out malformed.
+	const outcome = use === connectionUses.idle ? outcomes.notRun : outcomes.unknown;
+	socket.end(formatRefusal(error, outcome));
+}
+
+function formatRefusal(error: Error & {code?: string}, outcome: Outcome): string {
 	const status = statusOfCode.get(error.code ?? '') ?? '400 Bad Request';
 	const body = JSON.stringify({
 		kind: refusalKinds.malformed,
 		message: 'the request is not valid HTTP/1.1: correct its head or framing',
-		outcome: outcomes.notRun,
+		outcome,
 	});
 	const head = [
 		`HTTP/1.1 ${status}`,
 		'content-type: application/json',
 		`content-length: ${Buffer.byteLength(body)}`,
 		'connection: close',
-		`${headerNames.outcome}: ${outcomes.notRun}`,
+		`${headerNames.outcome}: ${outcome}`,
 		`${headerNames.refusal}: ${refusalKinds.malformed}`,
 	];
-	socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+	return `${head.join('\r\n')}\r\n\r\n${body}`;
 }
--- /dev/null
+++ b/test/process/bad-input.test.ts
@@ -0,0 +1,233 @@
+/**
+ * Bad input to the data listener: each case gets a typed answer whose outcome is `not-run`, no
+ * server sees any of it, and the node goes on serving.
+ */
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {z} from 'zod';
+import {sendCall} from '../support/http.js';
+import {startMesh} from '../support/mesh.js';
+
+const answerTimeoutMilliseconds = 20_000;
+const service = 'foxtailtide-service: booking\r\n';
+const host = 'host: node\r\n';
+
+type Case = {
+	readonly name: string;
+	readonly text: string;
+	readonly status: number;
+	readonly refusal: string;
+	/** `not-run` unless part of the request may have been passed on. */
+	readonly outcome?: string;
+	/** The caller closes its sending side after the text. */
+	readonly ends?: boolean;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a head over the limit',
+		text: `GET / HTTP/1.1\r\n${host}${service}x-long: ${'a'.repeat(20_000)}\r\n\r\n`,
+		status: 431,
+		refusal: 'malformed',
+	},
+	{
+		name: 'no HTTP at all',
+		text: '\u0016\u0003\u0001 hello\r\n\r\n',
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'a header without a colon',
+		text: `GET / HTTP/1.1\r\n${host}${service}broken header\r\n\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'a head that ends early',
+		text: `GET / HTTP/1.1\r\n${host}`,
+		status: 400,
+		refusal: 'malformed',
+		ends: true,
+	},
+	{
+		name: 'both a length and chunks',
+		text: `POST / HTTP/1.1\r\n${host}${service}idempotency-key: k\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'two lengths that differ',
+		text: `POST / HTTP/1.1\r\n${host}${service}idempotency-key: k\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nabcde`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'a length that is no number',
+		text: `POST / HTTP/1.1\r\n${host}${service}idempotency-key: k\r\ncontent-length: four\r\n\r\nabcd`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'a broken chunk size',
+		text: `POST / HTTP/1.1\r\n${host}${service}idempotency-key: k\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n`,
+		status: 400,
+		refusal: 'malformed',
+		outcome: 'unknown',
+	},
+	{
+		name: 'a bare line feed inside a header',
+		text: `GET / HTTP/1.1\r\n${host}${service}x-a: b\nx-injected: c\r\n\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'a zero byte inside a header',
+		text: `GET / HTTP/1.1\r\n${host}${service}x-a: b\u0000c\r\n\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'no service',
+		text: `GET / HTTP/1.1\r\n${host}\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'two services',
+		text: `GET / HTTP/1.1\r\n${host}${service}foxtailtide-service: ledger\r\n\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'an unknown service',
+		text: `GET / HTTP/1.1\r\n${host}foxtailtide-service: darkroom\r\n\r\n`,
+		status: 404,
+		refusal: 'unknown-service',
+	},
+	...['soon', '-1', '1e3', '99999999999', '1.5', ''].map(deadline => ({
+		name: `the deadline "${deadline}"`,
+		text: `GET / HTTP/1.1\r\n${host}${service}foxtailtide-deadline-ms: ${deadline}\r\n\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	})),
+	{
+		name: 'a deadline that has passed',
+		text: `GET / HTTP/1.1\r\n${host}${service}foxtailtide-deadline-ms: 0\r\n\r\n`,
+		status: 504,
+		refusal: 'deadline-exceeded',
+	},
+	{
+		name: 'a key over the limit',
+		text: `POST / HTTP/1.1\r\n${host}${service}idempotency-key: ${'k'.repeat(600)}\r\n\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	},
+	{
+		name: 'a body that stops short and never goes on',
+		text: `POST / HTTP/1.1\r\n${host}${service}idempotency-key: k\r\nfoxtailtide-deadline-ms: 300\r\ncontent-length: 40\r\n\r\nabc`,
+		status: 504,
+		refusal: 'deadline-exceeded',
+	},
+	{
+		name: 'a head that never ends',
+		text: `GET / HTTP/1.1\r\n${host}x-slow: `,
+		status: 408,
+		refusal: 'malformed',
+	},
+	{
+		name: 'a request for a tunnel',
+		text: `CONNECT other:80 HTTP/1.1\r\n${host}${service}\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	},
+];
+
+const journalSchema = z.array(z.unknown());
+
+type Answer = {
+	readonly status: number;
+	readonly refusal: string;
+	readonly outcome: string;
+};
+
+/** Sends bytes as they are and reads the head of the first answer. */
+async function sendRaw(port: number, text: string, ends = false): Promise<Answer> {
+	const socket = connect(port, '127.0.0.1');
+	socket.on('error', () => {
+		socket.destroy();
+	});
+	let received = '';
+	socket.setEncoding('latin1');
+	socket.on('data', (chunk: string) => {
+		received += chunk;
+	});
+	await once(socket, 'connect');
+	socket.write(text, 'latin1');
+	if (ends) {
+		socket.end();
+	}
+
+	const limit = Date.now() + answerTimeoutMilliseconds;
+	while (!received.includes('\r\n\r\n') && !socket.destroyed && Date.now() < limit) {
+		await sleep(5);
+	}
+
+	socket.destroy();
+	const read = (name: string): string =>
+		new RegExp(String.raw`\r\n${name}: ([^\r]*)`, 'iv').exec(received)?.[1] ?? 'none';
+	return {
+		status: Number(received.split(' ')[1] ?? 0),
+		refusal: read('foxtailtide-refusal'),
+		outcome: read('foxtailtide-outcome'),
+	};
+}
+
+test('bad input gets a typed answer that says not-run, and nothing of it is passed on', async context => {
+	const [node] = await startMesh(context, [{service: 'booking'}]);
+	const journalUrl = `http://127.0.0.1:${node!.serverPort}/stand-in/journal`;
+	await fetch(journalUrl, {method: 'DELETE'});
+	for (const {name, text, status, refusal, outcome = 'not-run', ends} of cases) {
+		await context.test(`${name} is refused as ${outcome}`, async () => {
+			const answer = await sendRaw(node!.dataPort, text, ends);
+			expect(answer).toEqual({status, refusal, outcome});
+			const journal = await fetch(journalUrl);
+			const ran: unknown[] = journalSchema.parse(await journal.json());
+			expect(outcome === 'not-run' ? ran : []).toEqual([]);
+			await fetch(journalUrl, {method: 'DELETE'});
+		});
+	}
+
+	const good = await sendCall({port: node!.dataPort, service: 'booking'});
+	expect([good.status, good.outcome]).toEqual([200, 'ran']);
+});
+
+test('a call in flight is not told not-run for the malformed bytes after it', async context => {
+	const [node] = await startMesh(context, [{service: 'booking'}]);
+	const journalUrl = `http://127.0.0.1:${node!.serverPort}/stand-in/journal`;
+	await fetch(journalUrl, {method: 'DELETE'});
+	const call = `GET / HTTP/1.1\r\n${host}${service}x-stand-in-service-time-ms: 300\r\n\r\n`;
+	const answer = await sendRaw(node!.dataPort, `${call}nonsense\r\n\r\n`);
+	expect(answer.outcome).not.toEqual('not-run');
+	const journal = await fetch(journalUrl);
+	expect(journalSchema.parse(await journal.json()).length).toEqual(1);
+});
+
+test('random bytes neither reach a server nor end the node', async context => {
+	const [node] = await startMesh(context, [{service: 'booking'}]);
+	const journalUrl = `http://127.0.0.1:${node!.serverPort}/stand-in/journal`;
+	await fetch(journalUrl, {method: 'DELETE'});
+	const bytes = fc.string({unit: 'binary-ascii', minLength: 1, maxLength: 200});
+	const property = fc.asyncProperty(bytes, async sample => {
+		const answer = await sendRaw(node!.dataPort, `${sample}\r\n\r\n`, true);
+		expect(['not-run', 'none']).toInclude(answer.outcome);
+	});
+	await fc.assert(property, {seed: 52, numRuns: 60});
+	const journal = await fetch(journalUrl);
+	expect(await journal.json()).toEqual([]);
+	const good = await sendCall({port: node!.dataPort, service: 'booking'});
+	expect([good.status, good.outcome]).toEqual([200, 'ran']);
+});
