Find the other nodes by membership in place of a fixed list

The settings' list of members was a stand-in until nodes could find each other. Nodes now join by the seeds of their settings and by rows in the platform's table, and the ingress chooses from the members that membership knows. A planned stop spreads the leave before it waits.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -61,6 +61,8 @@
 	readonly services?: readonly string[];
 	/** Address to listen at; that of `self` when absent. */
 	readonly listenHost?: string;
+	/** UDP port to listen at; the control port of `self` when absent. */
+	readonly listenPort?: number;
 	/** Gives monotonic milliseconds. */
 	readonly now: () => number;
 	/** Gives numbers from 0 to below 1. */
@@ -71,6 +73,6 @@
 
 /** Why membership could not start. */
 export type MembershipError = {
-	readonly kind: 'control-port-unavailable' | 'seed-address-invalid';
+	readonly kind: 'control-port-unavailable' | 'port-not-fixed' | 'seed-address-invalid';
 	readonly message: string;
 };
--- a/src/membership/self.ts
+++ b/src/membership/self.ts
@@ -18,7 +18,7 @@
 export function updateSelf(step: Step, patch: SelfPatch): void {
 	const {state} = step;
 	const {member, standing} = state.self;
-	const service = patch.service === null ? undefined : (patch.service ?? member.service);
+	const service = 'service' in patch ? patch.service : member.service;
 	const slots = patch.slots ?? member.slots;
 	const status = patch.status ?? member.status;
 	if (service === member.service && slots === member.slots && status === member.status) {
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -106,9 +106,8 @@
 
 /** What a node may change of itself. An absent field stays as it is. */
 export type SelfPatch = {
-	/** Service of the server beside the node; `null` when the server has gone. */
-	// eslint-disable-next-line @typescript-eslint/no-restricted-types
-	readonly service?: string | null;
+	/** Service of the server beside the node; given as undefined when the server has gone. */
+	readonly service?: string | undefined;
 	readonly slots?: number;
 	readonly status?: Extract<MemberStatus, 'alive' | 'leaving'>;
 };
--- a/src/membership/task.ts
+++ b/src/membership/task.ts
@@ -106,8 +106,18 @@
 function openTransport(
 	task: Task,
 ): Effect.Effect<Transport, MembershipError, Scope.Scope> {
-	const {self, listenHost, createTransport = createUdpTransport} = task.options;
-	const address: Address = {host: listenHost ?? self.host, port: self.controlPort};
+	const {self, createTransport = createUdpTransport} = task.options;
+	if ([self.peerPort, self.controlPort, task.options.listenPort].includes(0)) {
+		return Effect.fail({
+			kind: 'port-not-fixed',
+			message:
+				'other nodes are told of the peer and control ports; set both to fixed ports',
+		});
+	}
+
+	const host = task.options.listenHost ?? self.host;
+	const port = task.options.listenPort ?? self.controlPort;
+	const address: Address = {host, port};
 	const open = Effect.tryPromise({
 		try: async () => createTransport(address, receiveInto(task)),
 		catch: (error): MembershipError => ({
--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -8,7 +8,7 @@
 import {Deferred, Duration, Effect, Schedule, type Scope} from 'effect';
 import {formatIngress} from '../call/index.js';
 import type {Logger} from '../log/index.js';
-import {memberStatuses, type Member} from '../membership/index.js';
+import type {Membership, MembershipError} from '../membership/index.js';
 import type {Settings} from '../settings/index.js';
 import {
 	announcementLeaseMilliseconds,
@@ -17,7 +17,6 @@
 	type Announced,
 } from './announcements.js';
 import {createCallRunner} from './call-runner.js';
-import {createFixedDirectory, type Directory} from './directory.js';
 import {createGate, type Gate} from './gate.js';
 import {createIngress, type Ingress} from './ingress.js';
 import {
@@ -27,6 +26,7 @@
 } from './attempt-control.js';
 import {listenForControl} from './control.js';
 import {listen, type ListenError} from './listener.js';
+import {joinMesh, openTable} from './mesh.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPeerListener} from './peer-listener.js';
 
@@ -38,6 +38,9 @@
 	readonly local: number;
 };
 
+/** Why a node did not start. */
+export type StartError = ListenError | MembershipError;
+
 /** A node that listens. */
 export type RunningNode = {
 	readonly ports: NodePorts;
@@ -60,21 +63,19 @@
 export function startNode(
 	settings: Settings,
 	log: Logger,
-): Effect.Effect<RunningNode, ListenError, Scope.Scope> {
+): Effect.Effect<RunningNode, StartError, Scope.Scope> {
 	return Effect.gen(function* () {
 		const incarnation = Date.now();
-		const directory = createFixedDirectory(
-			createSelf(settings, incarnation),
-			settings.members,
-		);
+		const table = yield* openTable(settings);
+		const membership = yield* joinMesh(settings, incarnation, table);
 		const gate = createGate({now});
 		const peers = createPeerClient(now);
 		const canceller = createAttemptCanceller();
-		const ingress = createNodeIngress({settings, directory, gate, peers, canceller});
+		const ingress = createNodeIngress({settings, membership, gate, peers, canceller});
 		const announcements = createAnnouncements({
 			now,
 			onChange(announced) {
-				applyAnnouncement(announced, gate, directory, log);
+				applyAnnouncement(announced, gate, membership, log);
 			},
 		});
 		const peerListener = createPeerListener({run: gate.run, now});
@@ -83,7 +84,7 @@
 			data: yield* listen(ingress.server, host, settings.listeners.data),
 			peer: yield* listen(peerListener, host, settings.listeners.peer),
 			control: yield* listenForControl(
-				[createAttemptControl(directory.self, gate.cancelAttempt)],
+				[createAttemptControl(membership.self, gate.cancelAttempt)],
 				host,
 				settings.listeners.control,
 			),
@@ -98,7 +99,7 @@
 			}),
 		);
 		log.info('node started', {nodeId: settings.node.id, incarnation, ...ports});
-		return {ports, stop: stopNode({ingress, gate, directory, log})};
+		return {ports, stop: stopNode({ingress, gate, membership, log})};
 	});
 }
 
@@ -113,7 +114,7 @@
 	settings: Settings,
 	log: Logger,
 	onStarted: (ports: NodePorts) => void,
-): Effect.Effect<void, ListenError> {
+): Effect.Effect<void, StartError> {
 	return Effect.scoped(
 		Effect.gen(function* () {
 			const stopRequested = yield* Deferred.make<void>();
@@ -126,38 +127,23 @@
 	);
 }
 
-function createSelf(settings: Settings, incarnation: number): Member {
-	return {
-		nodeId: settings.node.id,
-		incarnation,
-		status: memberStatuses.alive,
-		host: settings.node.host,
-		peerPort: settings.advertise.peer ?? settings.listeners.peer,
-		controlPort: settings.advertise.control ?? settings.listeners.control,
-		region: settings.node.region,
-		failureDomain: settings.node.failureDomain,
-		slots: 0,
-		revision: 0,
-	};
-}
-
 type IngressParts = {
 	readonly settings: Settings;
-	readonly directory: Directory;
+	readonly membership: Membership;
 	readonly gate: Gate;
 	readonly peers: PeerClient;
 	readonly canceller: AttemptCanceller;
 };
 
 function createNodeIngress(parts: IngressParts): Ingress {
-	const {settings, directory, gate, peers, canceller} = parts;
-	const self = directory.self();
+	const {settings, membership, gate, peers, canceller} = parts;
+	const self = membership.self();
 	const runCall = createCallRunner({
 		ingressName: formatIngress(self.nodeId, self.incarnation),
 		wallClock: Date.now,
 		now,
 		choose: (head, excluded) =>
-			directory.membersOf(head.service).find(member => !excluded.has(member.nodeId)),
+			membership.membersOf(head.service).find(member => !excluded.has(member.nodeId)),
 		send: (member, request) =>
 			member.nodeId === self.nodeId ? gate.run(request) : peers.send(member, request),
 		confirmNotRun: canceller.confirmNotRun,
@@ -169,18 +155,18 @@
 function applyAnnouncement(
 	announced: Announced | undefined,
 	gate: Gate,
-	directory: Directory,
+	membership: Membership,
 	log: Logger,
 ): void {
 	const serving =
 		announced?.health === serverHealths.serving ? announced.server : undefined;
-	const previous = directory.self();
+	const previous = membership.self();
 	gate.setServer(serving);
 	if (previous.service === serving?.service && previous.slots === (serving?.slots ?? 0)) {
 		return;
 	}
 
-	directory.updateSelf({service: serving?.service, slots: serving?.slots ?? 0});
+	membership.updateSelf({service: serving?.service, slots: serving?.slots ?? 0});
 	log.info('server changed', {server: serving?.name, service: serving?.service});
 }
 
@@ -214,17 +200,17 @@
 type StopParts = {
 	readonly ingress: Ingress;
 	readonly gate: Gate;
-	readonly directory: Directory;
+	readonly membership: Membership;
 	readonly log: Logger;
 };
 
 function stopNode(parts: StopParts): Effect.Effect<void> {
-	const {ingress, gate, directory, log} = parts;
+	const {ingress, gate, membership, log} = parts;
 	return Effect.gen(function* () {
 		log.info('node leaving', {inFlight: gate.state().inFlight});
 		gate.setLeaving(true);
-		directory.updateSelf({status: memberStatuses.leaving});
 		ingress.setLeaving();
+		yield* Effect.promise(async () => membership.leave());
 		yield* Effect.sleep(Duration.millis(leaveNoticeMilliseconds));
 		ingress.server.close();
 		yield* Effect.promise(async () => ingress.drained());
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -48,21 +48,6 @@
 		.prefault({}),
 	/** Addresses of other nodes' control listeners, `host:port`. */
 	seeds: z.array(z.string().regex(addressPattern, 'use host:port')).default([]),
-	/** Other nodes, until they are found by membership. */
-	members: z
-		.array(
-			z.strictObject({
-				nodeId: nameSchema,
-				host: hostSchema,
-				peerPort: portSchema,
-				controlPort: portSchema,
-				region: nameSchema,
-				failureDomain: nameSchema,
-				service: nameSchema.optional(),
-				slots: z.int().min(0).default(0),
-			}),
-		)
-		.default([]),
 	platform: z.strictObject({table: z.url()}).optional(),
 	/** How changes of state are logged. */
 	log: z.strictObject({format: z.enum(logFormats).default(logFormats.json)}).prefault({}),
--- a/test/support/mesh.ts
+++ b/test/support/mesh.ts
@@ -37,6 +37,7 @@
 };
 
 const portsPerNode = 5;
+const seedCount = 3;
 const readyTimeoutMilliseconds = 10_000;
 
 const services = {
@@ -63,7 +64,8 @@
 };
 
 /**
- * Starts nodes that know each other, with their servers, and waits until each server is reached.
+ * Starts nodes that find each other by seeds, with their servers, and waits until every node
+ * reaches every service.
  *
  * @param cleaner the test, which ends the processes when it is over
  * @param nodes the nodes to start
@@ -76,20 +78,27 @@
 	const ports = await findFreePorts(nodes.length * portsPerNode);
 	const members = nodes.map((node, index) => ({
 		nodeId: `node-${index}`,
-		host: '127.0.0.1',
-		peerPort: ports[index * portsPerNode + 1]!,
-		controlPort: ports[index * portsPerNode + 2]!,
 		region: node.region ?? 'coast',
 		failureDomain: node.failureDomain ?? 'coast-a',
-		service: node.service,
-		slots: node.slots ?? 10,
 	}));
-	return Promise.all(
+	// Every node names the first few, as the settings of a fleet would.
+	const seeds = nodes
+		.slice(0, seedCount)
+		.map((_node, index) => `127.0.0.1:${ports[index * portsPerNode + 2]!}`);
+	const started = await Promise.all(
 		nodes.map(async (node, index) => {
 			const nodePorts = ports.slice(index * portsPerNode, (index + 1) * portsPerNode);
-			return startMeshNode(cleaner, node, members[index]!, {members, nodePorts});
+			return startMeshNode(cleaner, node, members[index]!, {seeds, nodePorts});
 		}),
 	);
+	const served = new Set(nodes.map(({service}) => service));
+	for (const {dataPort} of started) {
+		for (const service of served) {
+			await waitUntilServed(dataPort, service);
+		}
+	}
+
+	return started;
 }
 
 /** One request that a stand-in server began to run. */
@@ -118,7 +127,7 @@
 	cleaner: Cleaner,
 	node: MeshNodeOptions,
 	member: {nodeId: string; region: string; failureDomain: string},
-	mesh: {members: unknown[]; nodePorts: number[]},
+	mesh: {seeds: string[]; nodePorts: number[]},
 ): Promise<MeshNode> {
 	const [data, peer, control, local, administration] = mesh.nodePorts;
 	const settingsFile = writeSettings({
@@ -129,7 +138,7 @@
 			failureDomain: member.failureDomain,
 		},
 		listeners: {data, peer, control, local, administration},
-		members: mesh.members,
+		seeds: mesh.seeds,
 		services,
 	});
 	const started = await startProcess<NodePorts>(cleaner, 'foxtailtide', [
