--- /dev/null
+++ b/src/administration/configuration-routes.ts
@@ -0,0 +1,142 @@
+/** Routes of presets and configuration. */
+import {err, ok, type Result} from 'neverthrow';
+import type {Change, Held} from '../configuration/index.js';
+import {roles} from './access.js';
+import type {
+	AdministrationAnswer,
+	AdministrationOptions,
+	AdministrationRequest,
+	Handler,
+	Route,
+} from './administration.js';
+import {
+	administrationErrorKinds,
+	createError,
+	describeChangeError,
+	type AdministrationError,
+} from './error.js';
+import {readChangeFields, readTeam} from './fields.js';
+import {readFleetStatus} from './fleet-status.js';
+
+type Answer = Result<AdministrationAnswer, AdministrationError>;
+
+const listPresets: Handler = async (options, request) =>
+	findHeld(options, request).map(({version, document}) => ({
+		status: 200,
+		json: {
+			team: document.team,
+			version,
+			inForce: document.inForce,
+			presets: Object.keys(document.presets),
+		},
+	}));
+
+const showPreset: Handler = async (options, request) =>
+	findHeld(options, request).andThen(({version, document}): Answer => {
+		if (!Object.hasOwn(document.presets, request.name)) {
+			const names = Object.keys(document.presets).join(', ');
+			const message = `no preset is named ${request.name}; name one of: ${names}`;
+			return err(createError('unknown-preset', message));
+		}
+
+		const {team, inForce, presets} = document;
+		const json = {
+			team,
+			version,
+			name: request.name,
+			isInForce: inForce === request.name,
+			preset: presets[request.name],
+		};
+		return ok({status: 200, json});
+	});
+
+const switchPreset: Handler = async (options, request) =>
+	change(options, request, {kind: 'preset', preset: request.name});
+
+const showConfiguration: Handler = async (options, request) =>
+	findHeld(options, request).map(({team, version, changeId, appliedAt, text}) => ({
+		status: 200,
+		json: {team, version, changeId, appliedAt: new Date(appliedAt).toISOString(), text},
+	}));
+
+const applyConfiguration: Handler = async (options, request) =>
+	change(options, request, {kind: 'document', text: request.body});
+
+const showHistory: Handler = async (options, request) => {
+	const team = readTeam(request);
+	if (team.isErr()) {
+		return err(team.error);
+	}
+
+	const stored = await options.configuration.readStored(team.value);
+	return stored.mapErr(describeChangeError).map(row => ({
+		status: 200,
+		json: {team: team.value, version: row?.version ?? 0, changes: row?.history ?? []},
+	}));
+};
+
+const showStatus: Handler = async (options, request) => {
+	const team = readTeam(request);
+	if (team.isErr()) {
+		return err(team.error);
+	}
+
+	return ok({status: 200, json: await readFleetStatus(options, team.value)});
+};
+
+async function change(
+	options: AdministrationOptions,
+	request: AdministrationRequest,
+	content: Change['content'],
+): Promise<Answer> {
+	const fields = readChangeFields(request, options.createId);
+	if (fields.isErr()) {
+		return err(fields.error);
+	}
+
+	const result = await options.configuration.change({...fields.value, content});
+	return result.mapErr(describeChangeError).map(({record}) => {
+		const {team} = fields.value;
+		const {version, changeId, by, inForce} = record;
+		options.log.info('change accepted', {team, version, changeId, by, inForce});
+		return {status: 200, json: {accepted: true, team, ...record}};
+	});
+}
+
+function findHeld(
+	options: AdministrationOptions,
+	request: AdministrationRequest,
+): Result<Held, AdministrationError> {
+	return readTeam(request).andThen(team => {
+		const held = options.configuration.held().find(document => document.team === team);
+		const message = `team ${team} has no configuration in force here; apply one or look at its status`;
+		return held === undefined
+			? err(createError(administrationErrorKinds.notFound, message))
+			: ok(held);
+	});
+}
+
+export const configurationRoutes: readonly Route[] = [
+	{method: 'GET', path: '/v1/presets', role: roles.read, handle: listPresets},
+	{method: 'GET', path: '/v1/presets/:name', role: roles.read, handle: showPreset},
+	{
+		method: 'POST',
+		path: '/v1/presets/:name/switch',
+		role: roles.operate,
+		handle: switchPreset,
+	},
+	{method: 'GET', path: '/v1/configuration', role: roles.read, handle: showConfiguration},
+	{
+		method: 'PUT',
+		path: '/v1/configuration',
+		role: roles.operate,
+		handle: applyConfiguration,
+	},
+	{
+		method: 'GET',
+		path: '/v1/configuration/history',
+		role: roles.read,
+		handle: showHistory,
+	},
+	{method: 'GET', path: '/v1/configuration/status', role: roles.read, handle: showStatus},
+];
--- /dev/null
+++ b/src/administration/fields.ts
@@ -0,0 +1,100 @@
+/** Reads the fields of requests. */
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {chooseTeam} from './access.js';
+import type {AdministrationRequest} from './administration.js';
+import {
+	administrationErrorKinds,
+	createError,
+	type AdministrationError,
+} from './error.js';
+
+/** Longest change id and operator's name. */
+const maximumTextLength = 128;
+
+/** Header with the id of a change; the same id asks for the same change. */
+export const changeIdHeader = 'foxtailtide-change-id';
+
+/** Header with the version that a change was made from. */
+export const expectedVersionHeader = 'foxtailtide-expected-version';
+
+/** Header with the name of the one who asks, for the history. */
+export const operatorHeader = 'foxtailtide-operator';
+
+/** What every change carries. */
+export type ChangeFields = {
+	readonly changeId: string;
+	readonly expectedVersion: number | undefined;
+	readonly by: string;
+	readonly team: string;
+};
+
+const headersSchema = z.object({
+	changeId: z.string().min(1).max(maximumTextLength).optional(),
+	expectedVersion: z.coerce.number().int().min(0).optional(),
+	by: z.string().min(1).max(maximumTextLength).optional(),
+});
+
+/**
+ * Reads the headers of a change.
+ *
+ * @param request the request
+ * @param createId makes the id of a change that brings none
+ */
+export function readChangeFields(
+	request: AdministrationRequest,
+	createId: () => string,
+): Result<ChangeFields, AdministrationError> {
+	const parsed = headersSchema.safeParse({
+		changeId: request.headers[changeIdHeader],
+		expectedVersion: request.headers[expectedVersionHeader],
+		by: request.headers[operatorHeader],
+	});
+	if (!parsed.success) {
+		return err(createMalformed(parsed.error));
+	}
+
+	const {
+		changeId = createId(),
+		expectedVersion,
+		by = request.identity.team,
+	} = parsed.data;
+	return readTeam(request).map(team => ({changeId, expectedVersion, by, team}));
+}
+
+/** The team that the request is about. */
+export function readTeam(
+	request: AdministrationRequest,
+): Result<string, AdministrationError> {
+	return chooseTeam(request.identity, request.query.get('team') ?? undefined);
+}
+
+/**
+ * Reads a JSON body.
+ *
+ * @param body the text
+ * @param schema what it must look like
+ */
+export function readJson<Schema extends z.ZodType>(
+	body: string,
+	schema: Schema,
+): Result<z.infer<Schema>, AdministrationError> {
+	let value: unknown;
+	try {
+		value = JSON.parse(body);
+	} catch {
+		const message = 'the body is no JSON; send a JSON object';
+		return err(createError(administrationErrorKinds.malformed, message));
+	}
+
+	const parsed = schema.safeParse(value);
+	return parsed.success ? ok(parsed.data) : err(createMalformed(parsed.error));
+}
+
+function createMalformed(error: z.ZodError): AdministrationError {
+	const reasons = error.issues.map(
+		issue => `${issue.path.join('.') || 'request'}: ${issue.message}`,
+	);
+	const message = `${reasons.join('; ')}; correct the request`;
+	return createError(administrationErrorKinds.malformed, message);
+}
