Let admission decide at the gate and routing at the ingress

The gate queued in order of arrival without a bound and the ingress took the first member. The gate now asks admission for every slot, refuses what cannot be answered in time, gives a waiting request up when its server is gone, and reports its load by the measured header; the ingress chooses by its view of load and keeps a retry budget for each rank. An attempt that met no server costs none and is always followed by another, so that a planned leave never meets an empty budget. The load header is paid from the measuring budget.

--- a/src/node/call-runner.ts
+++ b/src/node/call-runner.ts
@@ -37,7 +37,7 @@
 	/** Asks a gate to cancel an attempt; true only if it was never and will never be dispatched. */
 	readonly confirmNotRun: (member: Member, id: AttemptId) => Promise<boolean>;
 	/** Whether the retry budget of a service grants one more attempt. */
-	readonly grantRetry: (head: CallHead) => boolean;
+	readonly grantRetry: (head: CallHead, result: AttemptResult) => boolean;
 };
 
 /** A request whose head is checked. */
@@ -151,7 +151,8 @@
 			replayable: isReplayable(call.body),
 			confirmed,
 			retryGranted:
-				result.kind === attemptResultKinds.answered || options.grantRetry(call.head),
+				result.kind === attemptResultKinds.answered ||
+				options.grantRetry(call.head, result),
 		};
 		const step = decideNextStep(call.head, result, progress, options.now());
 		switch (step.kind) {
--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -5,6 +5,20 @@
  */
 import {Agent} from 'node:http';
 import type {Readable} from 'node:stream';
+import {
+	announceSlots,
+	cancel as withdraw,
+	changePolicy,
+	createAdmission,
+	expire,
+	offer,
+	offerKinds,
+	release as releaseSlot,
+	type GatePolicy,
+	type RefusedRequest,
+	type RequestEnd,
+	type Turn,
+} from '../admission/index.js';
 import {
 	admissions,
 	admitAttempt,
@@ -15,6 +29,7 @@
 	createRefusal,
 	dispatchAttempt,
 	findHeader,
+	formatAttemptId,
 	finishAttempt,
 	headerNames,
 	isWhole,
@@ -28,6 +43,8 @@
 	type Refusal,
 	type RunningAttempt,
 } from '../call/index.js';
+import {encodeLoadReport} from '../routing/index.js';
+import {describeRefusal} from './gate-refusal.js';
 import {
 	exchangeKinds,
 	startExchange,
@@ -60,6 +77,8 @@
 	readonly setServer: (server: LocalServer | undefined) => void;
 	/** Refuses new work from now on, or takes it again. */
 	readonly setLeaving: (leaving: boolean) => void;
+	/** Puts another preset in force; what waits keeps waiting. */
+	readonly setPolicy: (policy: GatePolicy) => void;
 	readonly run: (request: AttemptRequest) => RunningAttempt;
 	/** Cancels an attempt for the ingress that lost contact, and says what is proven of it. */
 	readonly cancelAttempt: (id: AttemptId) => Cancellation;
@@ -70,18 +89,25 @@
 };
 
 type Entry = {
+	/** Text of the attempt's id. */
+	readonly id: string;
 	readonly request: AttemptRequest;
 	readonly settle: (result: AttemptResult) => void;
 	exchange: RunningExchange | undefined;
+	/** Milliseconds of the monotonic clock; meaningless before the dispatch. */
+	dispatchedAt: number;
 };
 
 type GateOptions = {
+	/** What the gate goes by until another preset is put in force. */
+	readonly policy: GatePolicy;
 	/** Present time, milliseconds of the monotonic clock. */
 	readonly now: () => number;
 };
 
 const serverConnectionLimit = 200;
 const idleConnectionMilliseconds = 4000;
+const expiryIntervalMilliseconds = 5;
 
 /**
  * Creates the gate.
@@ -96,12 +122,13 @@
 		maxSockets: serverConnectionLimit,
 		timeout: idleConnectionMilliseconds,
 	});
-	const queue: Entry[] = [];
+	const admission = createAdmission(options.policy, 0);
+	const waiting = new Map<string, Entry>();
 	const attempts = createAttemptTable();
 	const idleWaiters: Array<() => void> = [];
 	let server: LocalServer | undefined;
 	let leaving = false;
-	let inFlight = 0;
+	let expiryTimer: NodeJS.Timeout | undefined;
 	let dispatched = 0;
 	let refused = 0;
 
@@ -117,13 +144,18 @@
 	}
 
 	function formatLoad(): string {
-		return `${inFlight};${queue.length};${server?.slots ?? 0}`;
+		return encodeLoadReport({
+			inFlight: admission.running.size,
+			queued: waiting.size,
+			serviceMilliseconds: admission.serviceMilliseconds,
+			slots: server?.slots ?? 0,
+		});
 	}
 
 	function dispatch(entry: Entry, target: LocalServer): void {
 		dispatchAttempt(attempts, entry.request.id);
-		inFlight += 1;
 		dispatched += 1;
+		entry.dispatchedAt = now();
 		entry.request.onDispatch?.();
 		entry.exchange = startExchange({
 			agent,
@@ -142,41 +174,89 @@
 
 	function settleExchange(entry: Entry, result: ExchangeResult): void {
 		if (result.kind !== exchangeKinds.answered) {
-			release(entry);
+			release(entry, {partial: true});
 			entry.settle(describeServerFailure(result, formatLoad()));
 			return;
 		}
 
 		const {body} = result;
+		const shed = findHeader(result.rawHeaders, headerNames.outcome) === outcomes.notRun;
 		if (isWhole(body)) {
-			release(entry);
+			release(entry, {shed, partial: !isWhole(entry.request.body)});
 		} else {
 			releaseWhenClosed(entry, body);
 		}
 
-		const answer = readServerAnswer(result, formatLoad());
-		entry.settle(answer);
+		entry.settle(readServerAnswer(result, shed, formatLoad()));
 	}
 
 	function releaseWhenClosed(entry: Entry, body: Readable): void {
 		body.once('close', () => {
-			release(entry);
+			// How long a stream takes is up to its reader.
+			release(entry, {partial: true});
 		});
 	}
 
-	function release(entry: Entry): void {
+	function release(entry: Entry, end: Omit<RequestEnd, 'serviceMilliseconds'>): void {
 		finishAttempt(attempts, entry.request.id);
-		inFlight -= 1;
-		const next = server && inFlight < server.slots ? queue.shift() : undefined;
-		if (next && server) {
-			dispatch(next, server);
+		const present = now();
+		const serviceMilliseconds = present - entry.dispatchedAt;
+		followTurn(releaseSlot(admission, entry.id, {...end, serviceMilliseconds}, present));
+		wakeIdleWaiters();
+	}
+
+	function followTurn(turn: Turn): void {
+		for (const id of turn.dispatch) {
+			const entry = takeWaiting(id);
+			if (entry && server) {
+				dispatch(entry, server);
+			}
 		}
 
+		refuseAll(turn.refused);
+	}
+
+	function refuseAll(refusals: readonly RefusedRequest[]): void {
+		for (const {id, reason, retryAfterMilliseconds} of refusals) {
+			const entry = takeWaiting(id);
+			if (entry) {
+				refuse(entry, describeRefusal(reason, retryAfterMilliseconds));
+			}
+		}
+	}
+
+	/** What waits for a server that is gone may go to another node. */
+	function refuseWaiting(): void {
+		for (const entry of waiting.values()) {
+			withdraw(admission, entry.id);
+			refuse(entry, describeNoServer(entry.request.service));
+		}
+
+		waiting.clear();
 		wakeIdleWaiters();
 	}
 
+	function takeWaiting(id: string): Entry | undefined {
+		const entry = waiting.get(id);
+		waiting.delete(id);
+		return entry;
+	}
+
+	/** One timer for the whole queue, and none while it is empty. */
+	function expireLater(): void {
+		expiryTimer ??= setTimeout(() => {
+			expiryTimer = undefined;
+			refuseAll(expire(admission, now()));
+			if (waiting.size > 0) {
+				expireLater();
+			}
+
+			wakeIdleWaiters();
+		}, expiryIntervalMilliseconds);
+	}
+
 	function wakeIdleWaiters(): void {
-		if (inFlight > 0 || queue.length > 0) {
+		if (admission.running.size > 0 || waiting.size > 0) {
 			return;
 		}
 
@@ -201,22 +281,41 @@
 		}
 
 		if (server?.service !== entry.request.service) {
-			refuse(
-				entry,
-				createRefusal(
-					refusalKinds.noServer,
-					`no server of ${entry.request.service} is announced at this node: try again shortly`,
-				),
-			);
+			refuse(entry, describeNoServer(entry.request.service));
 			return;
 		}
 
-		if (inFlight < server.slots) {
-			dispatch(entry, server);
+		ask(entry, server);
+	}
+
+	function ask(entry: Entry, target: LocalServer): void {
+		const {rank, caller, body, deadlineAt} = entry.request;
+		const decision = offer(
+			admission,
+			{
+				id: entry.id,
+				rank,
+				caller,
+				// A large body is bounded by its progress, not by the deadline.
+				deadlineAt: isWhole(body) ? deadlineAt : Number.POSITIVE_INFINITY,
+			},
+			now(),
+		);
+		if (decision.kind === offerKinds.dispatch) {
+			dispatch(entry, target);
 			return;
 		}
 
-		queue.push(entry);
+		if (decision.kind === offerKinds.refused) {
+			refuse(entry, describeRefusal(decision.reason, decision.retryAfterMilliseconds));
+			return;
+		}
+
+		waiting.set(entry.id, entry);
+		expireLater();
+		if (decision.displaced !== undefined) {
+			refuseAll([decision.displaced]);
+		}
 	}
 
 	/** A second copy of an attempt is dropped without a word of its outcome: the first decides. */
@@ -235,7 +334,7 @@
 
 	function cancelById(id: AttemptId): Cancellation {
 		const cancellation = cancelAttempt(attempts, id);
-		const entry = queue.find(({request}) => isSameAttempt(request.id, id));
+		const entry = waiting.get(formatAttemptId(id));
 		if (entry) {
 			cancel(entry);
 		}
@@ -249,12 +348,11 @@
 			return;
 		}
 
-		const position = queue.indexOf(entry);
-		if (position === -1) {
+		if (!withdraw(admission, entry.id)) {
 			return;
 		}
 
-		queue.splice(position, 1);
+		waiting.delete(entry.id);
 		refuse(
 			entry,
 			createRefusal(refusalKinds.cancelled, 'the caller gave the request up'),
@@ -264,7 +362,16 @@
 
 	return {
 		setServer(announced) {
+			const isOther = announced?.service !== server?.service;
 			server = announced;
+			if (isOther) {
+				refuseWaiting();
+			}
+
+			followTurn(announceSlots(admission, announced?.slots ?? 0, now()));
+		},
+		setPolicy(policy) {
+			changePolicy(admission, policy);
 		},
 		setLeaving(value) {
 			leaving = value;
@@ -274,7 +381,13 @@
 			const result = new Promise<AttemptResult>(resolve => {
 				settle = resolve;
 			});
-			const entry: Entry = {request, settle: settle!, exchange: undefined};
+			const entry: Entry = {
+				id: formatAttemptId(request.id),
+				request,
+				settle: settle!,
+				exchange: undefined,
+				dispatchedAt: 0,
+			};
 			admit(entry);
 			return {
 				result,
@@ -284,9 +397,16 @@
 			};
 		},
 		cancelAttempt: cancelById,
-		state: () => ({server, leaving, inFlight, queued: queue.length, dispatched, refused}),
+		state: () => ({
+			server,
+			leaving,
+			inFlight: admission.running.size,
+			queued: waiting.size,
+			dispatched,
+			refused,
+		}),
 		async drained() {
-			if (inFlight === 0 && queue.length === 0) {
+			if (admission.running.size === 0 && waiting.size === 0) {
 				return;
 			}
 
@@ -300,8 +420,11 @@
 	};
 }
 
-function isSameAttempt(one: AttemptId, other: AttemptId): boolean {
-	return one.sequence === other.sequence && one.ingress === other.ingress;
+function describeNoServer(service: string): Refusal {
+	return createRefusal(
+		refusalKinds.noServer,
+		`no server of ${service} is announced at this node: try again shortly`,
+	);
 }
 
 function listServerHeaders(request: AttemptRequest, now: number): string[] {
@@ -341,10 +464,10 @@
 /** A server that sheds a request says so itself by the outcome header of its answer. */
 function readServerAnswer(
 	result: Extract<ExchangeResult, {kind: typeof exchangeKinds.answered}>,
+	shed: boolean,
 	load: string,
 ): AttemptResult {
-	const declared = findHeader(result.rawHeaders, headerNames.outcome);
-	if (declared !== outcomes.notRun) {
+	if (!shed) {
 		return {
 			kind: attemptResultKinds.answered,
 			status: result.status,
--- a/src/node/peer-listener.ts
+++ b/src/node/peer-listener.ts
@@ -25,6 +25,8 @@
 
 type PeerListenerOptions = {
 	readonly run: (request: AttemptRequest) => RunningAttempt;
+	/** Whether the measuring budget covers a load header of this value. */
+	readonly grantLoad: (load: string) => boolean;
 	/** Present time, milliseconds of the monotonic clock. */
 	readonly now: () => number;
 };
@@ -89,7 +91,7 @@
 	response.once('close', running.cancel);
 	void running.result.then(result => {
 		response.removeListener('close', running.cancel);
-		writeResult(response, result);
+		writeResult(response, result, options.grantLoad);
 	});
 }
 
@@ -125,17 +127,23 @@
 	return typeof value === 'string' ? value : '';
 }
 
-function writeResult(response: ServerResponse, result: AttemptResult): void {
+function writeResult(
+	response: ServerResponse,
+	result: AttemptResult,
+	grantLoad: (load: string) => boolean,
+): void {
 	if (result.kind === attemptResultKinds.answered) {
-		writeAnswer(response, result, [headerNames.load, result.load ?? '']);
+		writeAnswer(response, result, listLoadHeader(result.load, grantLoad));
 		return;
 	}
 
 	if (result.kind === attemptResultKinds.refused) {
-		writeRefusal(response, result.refusal, result.outcome, [
-			headerNames.load,
-			result.load ?? '',
-		]);
+		writeRefusal(
+			response,
+			result.refusal,
+			result.outcome,
+			listLoadHeader(result.load, grantLoad),
+		);
 		return;
 	}
 
@@ -145,3 +153,10 @@
 	);
 	writeRefusal(response, refusal, outcomes.unknown);
 }
+
+function listLoadHeader(
+	load: string | undefined,
+	grantLoad: (load: string) => boolean,
+): string[] {
+	return load !== undefined && grantLoad(load) ? [headerNames.load, load] : [];
+}
--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -6,8 +6,14 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {Deferred, Duration, Effect, Schedule, type Scope} from 'effect';
-import {formatIngress} from '../call/index.js';
+import {formatIngress, headerNames} from '../call/index.js';
 import type {Logger} from '../log/index.js';
+import {
+	createMeasuringMeter,
+	measuringUses,
+	trySpend,
+	type MeasuringMeter,
+} from '../measuring/index.js';
 import type {Membership, MembershipError} from '../membership/index.js';
 import type {Settings} from '../settings/index.js';
 import {
@@ -29,6 +35,8 @@
 import {joinMesh, openTable} from './mesh.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPeerListener} from './peer-listener.js';
+import {startingPolicies} from './policies.js';
+import {createRouter} from './router.js';
 
 /** The ports that a node is bound to. */
 export type NodePorts = {
@@ -51,6 +59,11 @@
 /** Callers and other nodes learn of the leave before the listeners close. */
 const leaveNoticeMilliseconds = 2000;
 
+/** The colon, the space and the line end of a header. */
+const headerOverheadBytes = 4;
+/** Upper bound of what encoding and decoding a load header takes. */
+const loadHeaderMicroseconds = 5;
+
 const now = (): number => performance.now();
 
 /**
@@ -68,7 +81,8 @@
 		const incarnation = Date.now();
 		const table = yield* openTable(settings);
 		const membership = yield* joinMesh(settings, incarnation, table);
-		const gate = createGate({now});
+		const gate = createGate({now, policy: startingPolicies});
+		const meter = createMeasuringMeter(startingPolicies.measuring);
 		const peers = createPeerClient(now);
 		const canceller = createAttemptCanceller();
 		const ingress = createNodeIngress({settings, membership, gate, peers, canceller});
@@ -78,7 +92,11 @@
 				applyAnnouncement(announced, gate, membership, log);
 			},
 		});
-		const peerListener = createPeerListener({run: gate.run, now});
+		const peerListener = createPeerListener({
+			run: gate.run,
+			grantLoad: load => trySpendOnHeader(meter, load),
+			now,
+		});
 		const {host} = settings.node;
 		const ports = {
 			data: yield* listen(ingress.server, host, settings.listeners.data),
@@ -138,20 +156,40 @@
 function createNodeIngress(parts: IngressParts): Ingress {
 	const {settings, membership, gate, peers, canceller} = parts;
 	const self = membership.self();
+	const router = createRouter({
+		place: {
+			nodeId: self.nodeId,
+			region: self.region,
+			failureDomain: self.failureDomain,
+		},
+		membersOf: membership.membersOf,
+		policies: () => startingPolicies,
+		now,
+		random: Math.random,
+	});
 	const runCall = createCallRunner({
 		ingressName: formatIngress(self.nodeId, self.incarnation),
 		wallClock: Date.now,
 		now,
-		choose: (head, excluded) =>
-			membership.membersOf(head.service).find(member => !excluded.has(member.nodeId)),
-		send: (member, request) =>
-			member.nodeId === self.nodeId ? gate.run(request) : peers.send(member, request),
+		choose: router.choose,
+		send(member, request) {
+			const running =
+				member.nodeId === self.nodeId ? gate.run(request) : peers.send(member, request);
+			return router.follow(member, request.service, running);
+		},
 		confirmNotRun: canceller.confirmNotRun,
-		grantRetry: () => true,
+		grantRetry: router.grantRetry,
 	});
 	return createIngress({now, findPolicy: service => settings.services[service], runCall});
 }
 
+/** The load header on an answer is paid from the measuring budget, or left out. */
+function trySpendOnHeader(meter: MeasuringMeter, load: string): boolean {
+	const bytes = headerNames.load.length + load.length + headerOverheadBytes;
+	const cost = {bytes, processorMicroseconds: loadHeaderMicroseconds};
+	return trySpend(meter, measuringUses.answerHeader, cost, now());
+}
+
 function applyAnnouncement(
 	announced: Announced | undefined,
 	gate: Gate,
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -17,7 +17,7 @@
 	type LoadReport,
 } from './load-report.js';
 export {choices, type Choice, type RoutingPolicy} from './policy.js';
-export {retryHeaderName, retryHeaderValue, tryRetry, type RetryRequest} from './retry.js';
+export {tryRetry, type RetryRequest} from './retry.js';
 export {
 	createShareBudget,
 	earnFromFirstAttempt,
--- a/src/routing/retry.ts
+++ b/src/routing/retry.ts
@@ -1,23 +1,19 @@
 /**
  * Whether a failed attempt is made again. Retries come from a share of first attempts for each
  * service. Along a chain of calls only the layer next to the failure retries: a request that is
- * itself part of a retry says so to the layers below, and an answer for which a layer below has
- * already retried, or had no budget to, says so to the layers above.
+ * itself part of a retry says so to the layers below, and the whole answer of a server, even one
+ * that reports an error, is never asked for again: the layers below it have retried already.
  */
 import {trySpendExtra, type ShareBudget} from './share-budget.js';
 
-/** On a request: it is part of a retry further up. On an answer: the layer below is done. */
-export const retryHeaderName = 'foxtailtide-retry';
-export const retryHeaderValue = 'spent';
-
 /** What is known when an attempt failed. */
 export type RetryRequest = {
 	/** Whether the call may run twice, or the attempt provably did not run. */
 	readonly isSafe: boolean;
-	/** Value of the retry header of the request that came in. */
-	readonly requestHeader: string | undefined;
-	/** Value of the retry header of the answer that failed, if there was one. */
-	readonly answerHeader: string | undefined;
+	/** Retries that the chain of calls above this one has already made. */
+	readonly retriesAbove: number;
+	/** Whether the failure is the whole answer of a server, so that layers below had their say. */
+	readonly isWholeAnswer: boolean;
 	/** Monotonic time in milliseconds; infinite without a deadline. */
 	readonly deadlineAt: number;
 	/** What an attempt takes as a rule. */
@@ -37,10 +33,7 @@
 	request: RetryRequest,
 	now: number,
 ): boolean {
-	const isSpent =
-		request.requestHeader === retryHeaderValue ||
-		request.answerHeader === retryHeaderValue;
-	if (!request.isSafe || isSpent) {
+	if (!request.isSafe || request.retriesAbove > 0 || request.isWholeAnswer) {
 		return false;
 	}
 
--- a/test/routing/extra-attempts.test.ts
+++ b/test/routing/extra-attempts.test.ts
@@ -11,7 +11,6 @@
 	findHedgeDelay,
 	longestLoadValueBytes,
 	recordLatency,
-	retryHeaderValue,
 	tryHedge,
 	tryRetry,
 	type RetryRequest,
@@ -21,8 +20,8 @@
 const seed = 20_261_204;
 const safe: RetryRequest = {
 	isSafe: true,
-	requestHeader: undefined,
-	answerHeader: undefined,
+	retriesAbove: 0,
+	isWholeAnswer: false,
 	deadlineAt: 100,
 	typicalMilliseconds: 10,
 };
@@ -32,12 +31,12 @@
 	{name: 'may not run twice', request: {...safe, isSafe: false}, expected: false},
 	{
 		name: 'part of a retry further up',
-		request: {...safe, requestHeader: retryHeaderValue},
+		request: {...safe, retriesAbove: 1},
 		expected: false,
 	},
 	{
-		name: 'the layer below has retried',
-		request: {...safe, answerHeader: retryHeaderValue},
+		name: 'the whole answer of a server',
+		request: {...safe, isWholeAnswer: true},
 		expected: false,
 	},
 	{name: 'too little time left', request: {...safe, deadlineAt: 10}, expected: false},
@@ -78,24 +77,23 @@
 function countDeepestAttempts(calls: number, layers: number, carried: boolean): number {
 	const budgets = Array.from({length: layers}, () => createShareBudget());
 	let attempts = 0;
-	const send = (layer: number, header: string | undefined): string | undefined => {
+	const send = (layer: number, retriesAbove: number): void => {
 		if (layer === layers) {
 			attempts += 1;
-			return undefined;
+			return;
 		}
 
 		const budget = budgets[layer]!;
 		earnFromFirstAttempt(budget, 0.09);
-		let answerHeader = send(layer + 1, header);
-		if (tryRetry(budget, {...safe, requestHeader: header, answerHeader}, 0)) {
-			answerHeader = send(layer + 1, carried ? retryHeaderValue : undefined);
+		send(layer + 1, retriesAbove);
+		const isWholeAnswer = carried && layer + 1 < layers;
+		if (tryRetry(budget, {...safe, retriesAbove, isWholeAnswer}, 0)) {
+			send(layer + 1, carried ? retriesAbove + 1 : 0);
 		}
-
-		return carried ? retryHeaderValue : answerHeader;
 	};
 
 	for (let call = 0; call < calls; call += 1) {
-		send(0, undefined);
+		send(0, 0);
 	}
 
 	return attempts;
