Add the commands that ask the administration API: presets, configuration, state, keys, drain

Operators switch presets and follow configurations from the command line.

The API stands in by a small server here; the commands are still to be run against the real one.

--- /dev/null
+++ b/src/command/preset.ts
@@ -0,0 +1,82 @@
+/** Commands for presets: list them, show one, switch to one. */
+import {Args} from '@oclif/core';
+import {stringify} from 'yaml';
+import {z} from 'zod';
+import {
+	AdministrationCommand,
+	changeFlags,
+	targetFlags,
+} from './administration-command.js';
+
+const presetsSchema = z.looseObject({
+	version: z.number(),
+	inForce: z.string(),
+	presets: z.array(z.string()),
+});
+const presetSchema = z.looseObject({isInForce: z.boolean(), preset: z.unknown()});
+const acceptedSchema = z.looseObject({version: z.number(), changeId: z.string()});
+const nameArgument = {
+	name: Args.string({description: 'name of the preset', required: true}),
+};
+
+export class PresetListCommand extends AdministrationCommand {
+	static override summary = 'List the presets; the one in force is marked.';
+	static override examples = [
+		'<%= config.bin %> preset list --administration http://127.0.0.1:7400',
+	];
+
+	static override flags = targetFlags;
+
+	override async run(): Promise<unknown> {
+		const {flags} = await this.parse(PresetListCommand);
+		const answer = await this.ask(flags, {method: 'GET', path: '/v1/presets'});
+		const {version, inForce, presets} = presetsSchema.parse(answer);
+		this.log(`version ${version}`);
+		for (const name of presets) {
+			this.log(`${name === inForce ? '*' : ' '} ${name}`);
+		}
+
+		return answer;
+	}
+}
+
+export class PresetShowCommand extends AdministrationCommand {
+	static override summary = 'Show a preset with its defaults filled in.';
+	static override examples = ['<%= config.bin %> preset show peaks'];
+	static override args = nameArgument;
+	static override flags = targetFlags;
+
+	override async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(PresetShowCommand);
+		const path = `/v1/presets/${encodeURIComponent(args.name)}`;
+		const answer = await this.ask(flags, {method: 'GET', path});
+		const {isInForce, preset} = presetSchema.parse(answer);
+		this.log(
+			`# ${args.name}${isInForce ? ', in force' : ''}\n${stringify(preset).trimEnd()}`,
+		);
+		return answer;
+	}
+}
+
+export class PresetSwitchCommand extends AdministrationCommand {
+	static override summary = 'Put a preset in force everywhere.';
+	static override description =
+		'Exits with 0 once the change is accepted: it is stored and never reverts. See `configuration status` for the nodes that have it in force. Exits with 3 when another change came first.';
+
+	static override examples = [
+		'<%= config.bin %> preset switch peaks',
+		'<%= config.bin %> preset switch peaks --expected-version 7 --by ada --json',
+	];
+
+	static override args = nameArgument;
+	static override flags = {...targetFlags, ...changeFlags};
+
+	override async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(PresetSwitchCommand);
+		const path = `/v1/presets/${encodeURIComponent(args.name)}/switch`;
+		const answer = await this.change(flags, {method: 'POST', path});
+		const {version, changeId} = acceptedSchema.parse(answer);
+		this.log(`${args.name} accepted as version ${version} (change ${changeId})`);
+		return answer;
+	}
+}
--- a/src/command/program.ts
+++ b/src/command/program.ts
@@ -14,15 +14,37 @@
 	type Interfaces,
 } from '@oclif/core';
 import {CheckCommand} from './check.js';
+import {
+	ConfigurationApplyCommand,
+	ConfigurationHistoryCommand,
+	ConfigurationStatusCommand,
+} from './configuration.js';
 import {LoadCommand} from './load.js';
 import {NodeCommand} from './node.js';
+import {
+	DrainCommand,
+	KeysIssueCommand,
+	MembersCommand,
+	StateCommand,
+} from './node-administration.js';
+import {PresetListCommand, PresetShowCommand, PresetSwitchCommand} from './preset.js';
 import {product} from './product.js';
 import {VersionCommand} from './version.js';
 
 const commands: ReadonlyMap<string, Command.Class> = new Map<string, Command.Class>([
 	['check', CheckCommand],
+	['configuration:apply', ConfigurationApplyCommand],
+	['configuration:history', ConfigurationHistoryCommand],
+	['configuration:status', ConfigurationStatusCommand],
+	['drain', DrainCommand],
+	['keys:issue', KeysIssueCommand],
 	['load', LoadCommand],
+	['members', MembersCommand],
 	['node', NodeCommand],
+	['preset:list', PresetListCommand],
+	['preset:show', PresetShowCommand],
+	['preset:switch', PresetSwitchCommand],
+	['state', StateCommand],
 	['version', VersionCommand],
 ]);
 
