Follow the configuration at every node, and serve the administration API on its own listener

Cause: policies came from the settings of each node. They now come from the documents in force; the settings' services remain for a node that has none. A node that neither the table nor enough other nodes have told the newest version answers calls as not ready and not run. A drain by the API takes the same way as a stop signal.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -5,6 +5,7 @@
 import type {Acceptance} from './acceptance.js';
 import type {Change, ChangeError} from './change.js';
 import type {FoundService} from './document.js';
+import type {FollowerCounters} from './follower-state.js';
 import type {Head, Held} from './holding.js';
 import type {PeerService} from './peer-service.js';
 import type {ConfigurationPeers} from './peers.js';
@@ -31,6 +32,8 @@
 	readonly askHeads: (member: Member) => Promise<readonly Head[] | undefined>;
 	/** For the control listener. */
 	readonly service: PeerService['service'];
+	/** What the following has done since the start. */
+	readonly counters: () => FollowerCounters;
 	/** The whole state for a dump. */
 	readonly dump: () => Record<string, unknown>;
 };
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -54,11 +54,11 @@
 const routingPolicySchema = z.strictObject({
 	choice: z.enum(routingChoices).default(routingChoices.adaptive),
 	/** Servers weighed for each call. */
-	candidates: z.int().min(1).max(16).default(2),
+	candidates: z.int().min(1).max(64).default(16),
 	/** Largest share of a service's servers that may be ejected at once. */
 	ejectionShare: share.default(0.2),
 	/** Retries as a share of first attempts. */
-	retryShare: share.default(0.1),
+	retryShare: share.default(0.09),
 	/** Hedges as a share of first attempts. */
 	hedgeShare: share.default(0.05),
 	/** Quantile of latency after which an idempotent call is hedged. */
--- a/src/configuration/task.ts
+++ b/src/configuration/task.ts
@@ -200,6 +200,7 @@
 			return comparison?.heads;
 		},
 		service: parts.peerService.service,
+		counters: () => state.counters,
 		dump: () => describeFollower(state, parts.surroundings()),
 	};
 }
--- a/src/node/ingress.ts
+++ b/src/node/ingress.ts
@@ -32,6 +32,8 @@
 	/** Present time, milliseconds of the monotonic clock. */
 	readonly now: () => number;
 	readonly findPolicy: (service: string) => CallPolicy | undefined;
+	/** Why no call may be served yet; `undefined` when calls may. */
+	readonly findUnreadiness: () => string | undefined;
 	readonly runCall: RunCall;
 };
 
@@ -54,6 +56,7 @@
 const headTimeoutMilliseconds = 10_000;
 const slowHeadCheckMilliseconds = 1000;
 const idleConnectionMilliseconds = 60_000;
+const notReadyMilliseconds = 1000;
 const headLimitBytes = 16_384;
 
 /**
@@ -87,6 +90,14 @@
 			response.shouldKeepAlive = false;
 		}
 
+		const unreadiness = options.findUnreadiness();
+		if (unreadiness !== undefined) {
+			const message = `${unreadiness}, or send the call to another node`;
+			const refusal = createRefusal(refusalKinds.notReady, message, notReadyMilliseconds);
+			writeRefusal(response, refusal, outcomes.notRun);
+			return;
+		}
+
 		const parsed = parseCallHead(
 			{
 				method: request.method!,
--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -22,7 +22,9 @@
 	serverHealths,
 	type Announced,
 } from './announcements.js';
+import {listenForAdministration} from './administration.js';
 import {createCallRunner} from './call-runner.js';
+import {followConfiguration, type NodeConfiguration} from './configuration.js';
 import {createGate, type Gate} from './gate.js';
 import {createIngress, type Ingress} from './ingress.js';
 import {
@@ -36,6 +38,7 @@
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPeerListener} from './peer-listener.js';
 import {startingPolicies} from './policies.js';
+import {createPolicySwitch} from './policy-switch.js';
 import {createRouter} from './router.js';
 
 /** The ports that a node is bound to. */
@@ -44,6 +47,7 @@
 	readonly peer: number;
 	readonly control: number;
 	readonly local: number;
+	readonly administration: number;
 };
 
 /** Why a node did not start. */
@@ -71,25 +75,30 @@
  *
  * @param settings checked settings
  * @param log where changes of state are logged
+ * @param requestStop begins to leave as a stop signal does
  * @returns the node, listening
  */
 export function startNode(
 	settings: Settings,
 	log: Logger,
+	requestStop: () => void,
 ): Effect.Effect<RunningNode, StartError, Scope.Scope> {
 	return Effect.gen(function* () {
 		const incarnation = Date.now();
 		const table = yield* openTable(settings);
 		const membership = yield* joinMesh(settings, incarnation, table);
+		const following = yield* followConfiguration({settings, membership, table, log});
 		const gate = createGate({now, policy: startingPolicies});
 		const meter = createMeasuringMeter(startingPolicies.measuring);
 		const peers = createPeerClient(now);
 		const canceller = createAttemptCanceller();
-		const ingress = createNodeIngress({settings, membership, gate, peers, canceller});
+		const ingress = createNodeIngress({following, membership, gate, peers, canceller});
+		const policies = createPolicySwitch(following, gate, meter);
 		const announcements = createAnnouncements({
 			now,
 			onChange(announced) {
 				applyAnnouncement(announced, gate, membership, log);
+				policies.serve(announced?.server.service);
 			},
 		});
 		const peerListener = createPeerListener({
@@ -102,11 +111,22 @@
 			data: yield* listen(ingress.server, host, settings.listeners.data),
 			peer: yield* listen(peerListener, host, settings.listeners.peer),
 			control: yield* listenForControl(
-				[createAttemptControl(membership.self, gate.cancelAttempt)],
+				[
+					createAttemptControl(membership.self, gate.cancelAttempt),
+					following.configuration.service,
+				],
 				host,
 				settings.listeners.control,
 			),
 			local: yield* listen(announcements.server, host, settings.listeners.local),
+			administration: yield* listenForAdministration({
+				settings,
+				membership,
+				following,
+				log,
+				dumps: {gate: gate.state, ingress: ingress.state},
+				requestStop,
+			}),
 		};
 		yield* expireRegularly(announcements.expire);
 		yield* Effect.addFinalizer(() =>
@@ -137,7 +157,9 @@
 		Effect.gen(function* () {
 			const stopRequested = yield* Deferred.make<void>();
 			yield* onStopSignal(stopRequested);
-			const node = yield* startNode(settings, log);
+			const node = yield* startNode(settings, log, () => {
+				Deferred.unsafeDone(stopRequested, Effect.void);
+			});
 			onStarted(node.ports);
 			yield* Deferred.await(stopRequested);
 			yield* node.stop;
@@ -146,7 +168,7 @@
 }
 
 type IngressParts = {
-	readonly settings: Settings;
+	readonly following: NodeConfiguration;
 	readonly membership: Membership;
 	readonly gate: Gate;
 	readonly peers: PeerClient;
@@ -154,7 +176,7 @@
 };
 
 function createNodeIngress(parts: IngressParts): Ingress {
-	const {settings, membership, gate, peers, canceller} = parts;
+	const {following, membership, gate, peers, canceller} = parts;
 	const self = membership.self();
 	const router = createRouter({
 		place: {
@@ -163,7 +185,7 @@
 			failureDomain: self.failureDomain,
 		},
 		membersOf: membership.membersOf,
-		policies: () => startingPolicies,
+		policies: following.findPolicies,
 		now,
 		random: Math.random,
 	});
@@ -180,7 +202,8 @@
 		confirmNotRun: canceller.confirmNotRun,
 		grantRetry: router.grantRetry,
 	});
-	return createIngress({now, findPolicy: service => settings.services[service], runCall});
+	const {findPolicy, findUnreadiness} = following;
+	return createIngress({now, findPolicy, findUnreadiness, runCall});
 }
 
 /** The load header on an answer is paid from the measuring budget, or left out. */
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -35,8 +35,8 @@
 	readonly place: Place;
 	/** The members that have a server of a service; the same array until one of them changes. */
 	readonly membersOf: (service: string) => readonly Member[];
-	/** The policies in force. */
-	readonly policies: () => NodePolicies;
+	/** The policies in force for a service. */
+	readonly policies: (service: string) => NodePolicies;
 	/** Present time, milliseconds of the monotonic clock. */
 	readonly now: () => number;
 	/** A number from 0 to 1. */
@@ -96,7 +96,7 @@
 	}
 
 	function findBudget(head: CallHead): ShareBudget {
-		const rankIndex = findRankIndex(policies().ranks, head.rank);
+		const rankIndex = findRankIndex(policies(head.service).ranks, head.rank);
 		const {retries} = findRoute(head.service);
 		retries[rankIndex] ??= createShareBudget();
 		return retries[rankIndex];
@@ -104,7 +104,7 @@
 
 	return {
 		choose(head, excluded) {
-			const {ranks, routing} = policies();
+			const {ranks, routing} = policies(head.service);
 			const route = findRoute(head.service);
 			if (excluded.size === 0) {
 				earnFromFirstAttempt(findBudget(head), routing.retryShare);
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -3,6 +3,7 @@
  * are faults. Times carry their unit in their name.
  */
 import {z} from 'zod';
+import {roles} from '../administration/access.js';
 import {logFormats} from '../log/index.js';
 
 const addressPattern = /^(?:\[[0-9a-f:]+\]|[^:]+):\d{1,5}$/iv;
@@ -49,6 +50,23 @@
 	/** Addresses of other nodes' control listeners, `host:port`. */
 	seeds: z.array(z.string().regex(addressPattern, 'use host:port')).default([]),
 	platform: z.strictObject({table: z.url()}).optional(),
+	/** Who may use the administration API; tokens are named by their SHA-256 only. */
+	administration: z
+		.strictObject({
+			tokens: z
+				.array(
+					z.strictObject({
+						/** Team whose configuration the token reaches; `*` reaches every team's. */
+						team: z.string().min(1),
+						role: z.enum(roles),
+						sha256: z
+							.string()
+							.regex(/^[0-9a-f]{64}$/v, 'use the 64 hexadecimal digits of the SHA-256'),
+					}),
+				)
+				.default([]),
+		})
+		.prefault({}),
 	/** How changes of state are logged. */
 	log: z.strictObject({format: z.enum(logFormats).default(logFormats.json)}).prefault({}),
 	/** Policies of services until a configuration is in force. */
