--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -100,6 +100,7 @@
 	nextGossipAt: number;
 	nextSyncAt: number;
 	nextReconnectAt: number;
+	reconnectAttempts: number;
 	/** Whether sync has taught something since the last request. */
 	hasLearned: boolean;
 };
@@ -198,7 +199,8 @@
 		nextProbeAt: now,
 		nextGossipAt: now,
 		nextSyncAt: now,
-		nextReconnectAt: now + parameters.reconnectIntervalMilliseconds,
+		nextReconnectAt: now + parameters.joinIntervalMilliseconds,
+		reconnectAttempts: 0,
 		hasLearned: false,
 	};
 }
--- a/src/membership/sync.ts
+++ b/src/membership/sync.ts
@@ -18,6 +18,7 @@
 
 const maximumServicesBytes = 300;
 const seedsAskedAtOnce = 3;
+const youngAttempts = 4;
 const introducedMembers = 16;
 
 /**
@@ -30,7 +31,6 @@
 	const {state, now} = step;
 	sendPages(step);
 	if (now >= state.nextReconnectAt) {
-		state.nextReconnectAt = now + state.parameters.reconnectIntervalMilliseconds;
 		reconnect(step);
 	}
 
@@ -137,19 +137,25 @@
 		sendProbe(step, addressOf(member), ping, accusationOf(step, chosen));
 	}
 
-	for (const seed of pickSeeds(step, 1)) {
+	const {joinIntervalMilliseconds, reconnectIntervalMilliseconds} = state.parameters;
+	// Nodes that start together may first meet in separate groups, so a young node asks more
+	// seeds, and more often.
+	const isYoung = state.reconnectAttempts < youngAttempts;
+	const isAlone = state.roster.peers.length === 0;
+	const wanted = isYoung ? seedsAskedAtOnce : 1;
+	for (const seed of pickSeeds(step, isAlone ? 0 : wanted)) {
 		requestSync(step, seed, false);
 	}
+
+	const grown = joinIntervalMilliseconds * 2 ** Math.min(state.reconnectAttempts, 16);
+	state.nextReconnectAt = step.now + Math.min(reconnectIntervalMilliseconds, grown);
+	state.reconnectAttempts += 1;
 }
 
-function pickSeeds(step: Step, count: number): Set<Address> {
+function pickSeeds(step: Step, count: number): Address[] {
 	const {seeds} = step.state;
-	const chosen = new Set<Address>();
-	for (let attempt = 0; attempt < count && seeds.length > 0; attempt += 1) {
-		chosen.add(seeds[Math.floor(step.random() * seeds.length)]!);
-	}
-
-	return chosen;
+	const start = Math.floor(step.random() * seeds.length);
+	return [...seeds.slice(start), ...seeds.slice(0, start)].slice(0, count);
 }
 
 function listWantedServices(wanted: ReadonlySet<string>): string[] {
--- a/test/membership/restart.test.ts
+++ b/test/membership/restart.test.ts
@@ -52,3 +52,22 @@
 	const elapsed = mesh.runUntil(() => knowsAll(nodes), 60 * second);
 	expect(elapsed === undefined).toEqual(false);
 });
+
+test('nodes that start together and meet in separate groups soon know each other', () => {
+	const mesh = createMesh({seed: 23});
+	for (let index = 0; index < 4; index += 1) {
+		mesh.start({nodeId: `node-${index}`});
+	}
+
+	for (const {state} of mesh.nodes) {
+		state.seeds = mesh.nodes.slice(0, 3).map(({address}) => address);
+	}
+
+	const isOuter = (node: MeshNode) => ['node-0', 'node-3'].includes(node.nodeId);
+	mesh.isCut = (from, to) => isOuter(from) !== isOuter(to);
+	mesh.run(600);
+	expect(mesh.nodes.map(({state}) => state.roster.peers.length)).toEqual([1, 1, 1, 1]);
+	mesh.isCut = () => false;
+	const isWhole = () => mesh.nodes.every(({state}) => state.roster.peers.length === 3);
+	expect(mesh.runUntil(isWhole, 5 * second) === undefined).toEqual(false);
+});
--- a/test/support/mesh.ts
+++ b/test/support/mesh.ts
@@ -23,6 +23,7 @@
 	readonly process: StartedProcess<NodePorts>;
 	readonly server: StartedProcess<{port: number}>;
 	readonly dataPort: number;
+	readonly controlPort: number;
 	readonly serverPort: number;
 	readonly settingsFile: string;
 };
@@ -164,6 +165,7 @@
 		process: started,
 		server,
 		dataPort: data!,
+		controlPort: control!,
 		serverPort: server.ready.port,
 		settingsFile,
 	};
