Close the gossip socket only when its last datagrams have left

The farewell of a stopping node was dropped with its socket, so a process test saw it suspected before it was held dead. Closing now waits for what is on its way.

--- a/src/membership/transport.ts
+++ b/src/membership/transport.ts
@@ -35,11 +35,18 @@
 	await bind(socket, address);
 	// A refused datagram is reported here later; the probes find out by themselves.
 	socket.on('error', ignore);
+	const pending = new Set<Promise<void>>();
 	return {
 		send(target, bytes) {
-			socket.send(Buffer.from(bytes), target.port, target.host, ignore);
+			const sent = sendDatagram(socket, target, bytes);
+			pending.add(sent);
+			void sent.then(() => {
+				pending.delete(sent);
+			});
 		},
 		async close() {
+			// The last words of a node that stops are still on their way to the system.
+			await Promise.all(pending);
 			await new Promise<void>(resolve => {
 				socket.close(resolve);
 			});
@@ -47,6 +54,18 @@
 	};
 }
 
+async function sendDatagram(
+	socket: Socket,
+	target: Address,
+	bytes: Uint8Array,
+): Promise<void> {
+	await new Promise<void>(resolve => {
+		socket.send(Buffer.from(bytes), target.port, target.host, () => {
+			resolve();
+		});
+	});
+}
+
 async function bind(socket: Socket, address: Address): Promise<void> {
 	await new Promise<void>((resolve, reject) => {
 		socket.once('error', reject);
