Run calls that must not repeat at the home of their key

Cause: POST and its kind ran as often as they were sent. A non-idempotent call now needs an Idempotency-Key (428 without); issued keys (POST /foxtailtide/keys) name their home, own keys are bound by one conditional create; the home keeps the answer, and a planned stop writes a closing row.

Ruled out: telling not-run to a resend while the table is down, since an earlier sending may have run; a caller that never sent the key before says so (foxtailtide-sending: 1) and is told not-run. A keyed call is not cancelled when its caller leaves: its answer is kept for the next sending. A home that cannot be reached is not remembered as ended; only its own word is, so that a healed cut brings its keys back.

--- a/src/binding/bind.ts
+++ b/src/binding/bind.ts
@@ -9,11 +9,11 @@
  * still names one home and only that home's ledger runs the key.
  */
 import {fates, type Closing, type EndedKey, type Fate} from './closing.js';
-import {isSameHome, type Home} from './home.js';
+import {isSameHome, type AddressedHome, type Home} from './home.js';
 
 /** Which home may run a key. */
 export type Binding = {
-	readonly home: Home;
+	readonly home: AddressedHome;
 	/** Random text of the write. */
 	readonly nonce: string;
 	/** Milliseconds of the home's wall clock. */
@@ -41,7 +41,7 @@
 	| {readonly kind: 'done'; readonly result: BindingResult};
 
 export type BindingResult =
-	| {readonly kind: 'bound'; readonly home: Home; readonly expiresAt: number}
+	| {readonly kind: 'bound'; readonly home: AddressedHome; readonly expiresAt: number}
 	/** The home has ended; `ran` or `unknown`. */
 	| {readonly kind: 'ended'; readonly fate: Fate}
 	/** The table did not tell. Nothing was handed on by this try. */
--- a/src/binding/home.ts
+++ b/src/binding/home.ts
@@ -1,6 +1,8 @@
 /**
  * The home of a key: one life of one node. The incarnation is drawn at random when the process
  * starts and never comes back, so that neither a clock nor an address decides who may run a key.
+ * The address only says where to ask: any ingress reaches a home that membership does not tell
+ * it of, and one that is suspected without cause.
  */
 
 export type Home = {
@@ -9,6 +11,13 @@
 	readonly incarnation: string;
 };
 
+/** A home and where it takes calls of other nodes. */
+export type AddressedHome = Home & {
+	/** IP address. */
+	readonly host: string;
+	readonly port: number;
+};
+
 /**
  * Tells whether two homes are the same life of the same node.
  *
@@ -20,39 +29,60 @@
 	return left.nodeId === right.nodeId && left.incarnation === right.incarnation;
 }
 
+const separator = '/';
+
+/**
+ * Writes a home as a header value.
+ *
+ * @param home the home
+ * @returns its text
+ */
+export function formatHome(home: Home): string {
+	return `${encodeURIComponent(home.nodeId)}${separator}${home.incarnation}`;
+}
+
+/**
+ * Reads a home from a header value.
+ *
+ * @param text what `formatHome` wrote
+ * @returns the home, or nothing when the text is none
+ */
+export function parseHome(text: string): Home | undefined {
+	const [nodeId, incarnation, ...rest] = text.split(separator);
+	if (!nodeId || !incarnation || rest.length > 0) {
+		return undefined;
+	}
+
+	try {
+		return {nodeId: decodeURIComponent(nodeId), incarnation};
+	} catch {
+		return undefined;
+	}
+}
+
 export const routes = {
 	/** This node is the home. */
 	local: 'local',
-	/** Another node may be the home: it decides by its incarnation. */
+	/** Whoever listens at the home's address decides by its incarnation. */
 	remote: 'remote',
 	/** The home has ended: its closing row tells what it ran. */
 	gone: 'gone',
-	/** Nobody knows where the home stands. */
-	unreachable: 'unreachable',
 } as const;
 
 export type Route = (typeof routes)[keyof typeof routes];
 
-/** What membership says of a node id. */
-export type HomePresence = 'present' | 'dead' | 'absent';
-
 /**
  * Chooses where a key is decided. Another incarnation under this node's own name proves that
  * the old process has ended; it proves nothing of what that process ran.
  *
  * @param home the home of the key
  * @param self this node
- * @param presence what membership says of the home's node
  * @returns the route
  */
-export function routeKey(home: Home, self: Home, presence: HomePresence): Route {
-	if (home.nodeId === self.nodeId) {
-		return home.incarnation === self.incarnation ? routes.local : routes.gone;
-	}
-
-	if (presence === 'present') {
+export function routeKey(home: Home, self: Home): Route {
+	if (home.nodeId !== self.nodeId) {
 		return routes.remote;
 	}
 
-	return presence === 'dead' ? routes.gone : routes.unreachable;
+	return home.incarnation === self.incarnation ? routes.local : routes.gone;
 }
--- a/src/binding/index.ts
+++ b/src/binding/index.ts
@@ -11,6 +11,7 @@
 	type EndedHome,
 	type VersionedBinding,
 } from './bind.js';
+export {decodeBinding, encodeBinding} from './binding-row.js';
 export {
 	createClaimBudget,
 	defaultFleetWritesPerSecond,
@@ -31,11 +32,13 @@
 } from './closing.js';
 export {fingerprintRequest, type RequestParts} from './fingerprint.js';
 export {
+	formatHome,
 	isSameHome,
+	parseHome,
 	routeKey,
 	routes,
+	type AddressedHome,
 	type Home,
-	type HomePresence,
 	type Route,
 } from './home.js';
 export {
--- a/src/binding/issued-key.ts
+++ b/src/binding/issued-key.ts
@@ -7,7 +7,7 @@
 import {createHmac, timingSafeEqual} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {IssuedKeyBody} from '../generated/binding.js';
-import type {Home} from './home.js';
+import type {AddressedHome} from './home.js';
 
 const textPrefix = 'ftk1';
 const separator = '.';
@@ -36,7 +36,7 @@
 export type IssuedKey = {
 	/** Name of the key in the ledger: the text without its digest. */
 	readonly id: string;
-	readonly home: Home;
+	readonly home: AddressedHome;
 	readonly scope: KeyScope;
 	/** Milliseconds of the home's wall clock. */
 	readonly expiresAt: number;
@@ -46,7 +46,7 @@
 export type KeySecrets = readonly [string, ...string[]];
 
 export type IssueRequest = {
-	readonly home: Home;
+	readonly home: AddressedHome;
 	readonly scope: KeyScope;
 	/** Milliseconds of the home's wall clock. */
 	readonly expiresAt: number;
@@ -75,6 +75,8 @@
 		expiresAt: request.expiresAt,
 		serial: Buffer.from(randomBytes(serialBytes)),
 		block: request.block,
+		homeHost: request.home.host,
+		homePort: request.home.port,
 	}).finish();
 	const text = Buffer.from(body).toString('base64url');
 	const digest = digestOf(text, secrets[0]).toString('base64url');
@@ -142,7 +144,12 @@
 		id: isNumbered
 			? `issued${separator}${body}${separator}${number}`
 			: `issued${separator}${body}`,
-		home: {nodeId: decoded.homeNodeId, incarnation: decoded.homeIncarnation},
+		home: {
+			nodeId: decoded.homeNodeId,
+			incarnation: decoded.homeIncarnation,
+			host: decoded.homeHost,
+			port: decoded.homePort,
+		},
 		scope: {service: decoded.service, team: decoded.team},
 		expiresAt: decoded.expiresAt,
 	});
--- a/src/binding/verdict.ts
+++ b/src/binding/verdict.ts
@@ -92,9 +92,11 @@
 		return verdict(refusalKinds.keyHomeGone, message, outcomes.ran);
 	}
 
-	const message =
-		'the home of the key ended without telling what it ran: ask the service whether it ran, it will not run again';
-	return verdict(refusalKinds.keyHomeGone, message, outcomes.unknown);
+	return judgeUndecided(
+		refusalKinds.keyHomeGone,
+		'the home of the key cannot be reached and has not told what it ran: send it again later, or ask the service whether it ran',
+		isFirstSending,
+	);
 }
 
 /**
--- a/src/call/head.ts
+++ b/src/call/head.ts
@@ -28,6 +28,8 @@
 	readonly idempotent: boolean;
 	/** The caller's idempotency key, if it sent one. */
 	readonly key: string | undefined;
+	/** Whether the caller says that it never sent the key before. */
+	readonly isFirstSending: boolean;
 	/** Retries that the chain of calls above this one has already made. */
 	readonly retries: number;
 };
@@ -134,6 +136,7 @@
 		deadlineAt: now + remaining,
 		idempotent: policy.idempotentMethods.includes(received.method),
 		key,
+		isFirstSending: received.headers[headerNames.sending] === '1',
 		retries,
 	});
 }
--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -15,6 +15,12 @@
 	load: 'foxtailtide-load',
 	idempotent: 'foxtailtide-idempotent',
 	idempotencyKey: 'idempotency-key',
+	/** Which sending of its key this is, by the caller's own count from 1. */
+	sending: 'foxtailtide-sending',
+	/** Home of a key and the key's name and expiry there, between nodes. */
+	keyHome: 'foxtailtide-key-home',
+	keyId: 'foxtailtide-key-id',
+	keyExpiry: 'foxtailtide-key-expiry',
 	/** How many retries the call has already cost along its chain of calls. */
 	retries: 'foxtailtide-retries',
 } as const;
--- a/src/node/answer.ts
+++ b/src/node/answer.ts
@@ -6,10 +6,14 @@
 import type {ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream';
 import {
+	attemptResultKinds,
+	createRefusal,
 	headerNames,
 	isWhole,
 	outcomes,
+	refusalKinds,
 	type AttemptAnswered,
+	type AttemptResult,
 	type Outcome,
 	type Refusal,
 } from '../call/index.js';
@@ -85,3 +89,45 @@
 	response.writeHead(refusal.status, headers);
 	response.end(body);
 }
+
+/**
+ * Writes what became of an attempt, for another node to read.
+ *
+ * @param response where to write
+ * @param result what became of it
+ * @param extra headers to add to a server's answer or a refusal
+ */
+export function writeResult(
+	response: ServerResponse,
+	result: AttemptResult,
+	extra: ExtraHeaders = [],
+): void {
+	if (result.kind === attemptResultKinds.answered) {
+		writeAnswer(response, result, extra);
+		return;
+	}
+
+	if (result.kind === attemptResultKinds.refused) {
+		writeRefusal(response, result.refusal, result.outcome, extra);
+		return;
+	}
+
+	const refusal = createRefusal(
+		refusalKinds.serverFailed,
+		`contact with the server was lost (${result.message}): send idempotent requests again`,
+	);
+	writeRefusal(response, refusal, outcomes.unknown);
+}
+
+/**
+ * Refuses a request that no node sent.
+ *
+ * @param response where to write
+ */
+export function refuseStranger(response: ServerResponse): void {
+	const refusal = createRefusal(
+		refusalKinds.malformed,
+		'this listener serves other nodes only: send calls to the data listener',
+	);
+	writeRefusal(response, refusal, outcomes.notRun);
+}
--- a/src/node/ingress.ts
+++ b/src/node/ingress.ts
@@ -13,6 +13,7 @@
 	attemptResultKinds,
 	copyEndToEndHeaders,
 	createRefusal,
+	headerNames,
 	isWhole,
 	outcomes,
 	parseCallHead,
@@ -20,6 +21,7 @@
 	type AttemptResult,
 	type CallHead,
 	type CallPolicy,
+	type Outcome,
 } from '../call/index.js';
 import {writeAnswer, writeRefusal} from './answer.js';
 import type {CallRequest, RunCall} from './call-runner.js';
@@ -35,6 +37,8 @@
 	/** Why no call may be served yet; `undefined` when calls may. */
 	readonly findUnreadiness: () => string | undefined;
 	readonly runCall: RunCall;
+	/** Answers a request to the node itself; false when the request is a call. */
+	readonly answerOwn: (request: IncomingMessage, response: ServerResponse) => boolean;
 };
 
 export type Ingress = {
@@ -90,11 +94,15 @@
 			response.shouldKeepAlive = false;
 		}
 
+		if (options.answerOwn(request, response)) {
+			return;
+		}
+
 		const unreadiness = options.findUnreadiness();
 		if (unreadiness !== undefined) {
 			const message = `${unreadiness}, or send the call to another node`;
 			const refusal = createRefusal(refusalKinds.notReady, message, notReadyMilliseconds);
-			writeRefusal(response, refusal, outcomes.notRun);
+			writeRefusal(response, refusal, outcomeBeforeHome(request));
 			return;
 		}
 
@@ -185,6 +193,14 @@
 	};
 }
 
+/** An earlier sending of a key may have run; only the home of the key can tell. */
+function outcomeBeforeHome({headers}: IncomingMessage): Outcome {
+	const mayBeResent =
+		headers[headerNames.idempotencyKey] !== undefined &&
+		headers[headerNames.sending] !== '1';
+	return mayBeResent ? outcomes.unknown : outcomes.notRun;
+}
+
 function finishCall(response: ServerResponse, result: AttemptResult): void {
 	if (response.closed) {
 		discard(result);
--- /dev/null
+++ b/src/node/key-home.ts
@@ -0,0 +1,207 @@
+/**
+ * The home of keys: runs a keyed call at most once, whichever ingress brings it, and keeps its
+ * answer for those who send it again. It owns the ledger of this incarnation.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	beginClosing,
+	claimKey,
+	claimKinds,
+	closingRowKey,
+	createLedger,
+	encodeClosing,
+	finishClosing,
+	fingerprintRequest,
+	isSameHome,
+	judgeClaim,
+	ledgerPhases,
+	markAnswered,
+	markDispatched,
+	markLost,
+	markNotRun,
+	type AddressedHome,
+	type Home,
+	type KeptAnswer,
+	type KeyedRequest,
+	type RefusedClaim,
+} from '../binding/index.js';
+import {
+	attemptResultKinds,
+	isWhole,
+	outcomes,
+	refusalKinds,
+	type AttemptAnswered,
+	type AttemptResult,
+	type CallHead,
+} from '../call/index.js';
+import type {RunCall} from './call-runner.js';
+
+/** A keyed call on its way to the key's home. */
+export type KeyedCall = {
+	readonly home: Home;
+	readonly keyId: string;
+	/** Milliseconds of the home's wall clock. */
+	readonly expiresAt: number;
+	readonly head: CallHead;
+	/** End-to-end headers. */
+	readonly headers: readonly string[];
+	readonly body: Uint8Array;
+};
+
+export type KeyHome = {
+	readonly home: AddressedHome;
+	/** Runs a keyed call or tells what became of it. */
+	readonly run: (call: KeyedCall) => Promise<AttemptResult>;
+	readonly isOpen: () => boolean;
+	readonly state: () => KeyHomeState;
+	/** Takes no new key, waits for those that run, and gives the closing row to write. */
+	readonly close: () => Promise<{readonly key: string; readonly value: string}>;
+};
+
+export type KeyHomeState = {
+	readonly home: Home;
+	readonly phase: string;
+	readonly keys: number;
+	readonly running: number;
+	readonly keptBytes: number;
+};
+
+type KeyHomeOptions = {
+	readonly home: AddressedHome;
+	readonly runCall: RunCall;
+	/** Wall clock in milliseconds. */
+	readonly wallClock: () => number;
+};
+
+/**
+ * Creates the home with an empty ledger.
+ *
+ * @param options this incarnation, and how its calls are run
+ * @returns the home
+ */
+export function createKeyHome(options: KeyHomeOptions): KeyHome {
+	const {home, runCall, wallClock} = options;
+	const ledger = createLedger();
+	const running = new Map<string, Promise<AttemptResult>>();
+
+	async function run(call: KeyedCall): Promise<AttemptResult> {
+		if (!isSameHome(call.home, home)) {
+			return refuse(claimKinds.closed);
+		}
+
+		const request = createKeyedRequest(call);
+		const claim = claimKey(ledger, request, wallClock());
+		if (claim.kind === claimKinds.run) {
+			const result = runClaimed(call);
+			running.set(call.keyId, result);
+			return result;
+		}
+
+		if (claim.kind === claimKinds.join) {
+			return join(call.keyId);
+		}
+
+		return claim.kind === claimKinds.answered
+			? restoreAnswer(claim.answer)
+			: refuse(claim.kind);
+	}
+
+	async function runClaimed(call: KeyedCall): Promise<AttemptResult> {
+		markDispatched(ledger, call.keyId);
+		const {result} = runCall({head: call.head, headers: call.headers, body: call.body});
+		const settled = await result;
+		running.delete(call.keyId);
+		settleKey(call.keyId, settled);
+		return settled;
+	}
+
+	function settleKey(keyId: string, result: AttemptResult): void {
+		if (result.kind === attemptResultKinds.answered) {
+			markAnswered(ledger, keyId, keepAnswer(result));
+		} else if (
+			result.kind === attemptResultKinds.refused &&
+			result.outcome === outcomes.notRun
+		) {
+			markNotRun(ledger, keyId);
+		} else {
+			markLost(ledger, keyId);
+		}
+	}
+
+	/** An answer that streams goes to the caller that came first. */
+	async function join(keyId: string): Promise<AttemptResult> {
+		const result = await running.get(keyId)!;
+		return result.kind === attemptResultKinds.answered
+			? restoreAnswer(keepAnswer(result))
+			: result;
+	}
+
+	return {
+		home,
+		run,
+		isOpen: () => ledger.phase === ledgerPhases.open,
+		state: () => ({
+			home,
+			phase: ledger.phase,
+			keys: ledger.entries.size,
+			running: ledger.running,
+			keptBytes: ledger.bodyBytes,
+		}),
+		async close() {
+			beginClosing(ledger);
+			for (;;) {
+				const keys = finishClosing(ledger, wallClock());
+				if (keys) {
+					return {key: closingRowKey(home), value: encodeClosing(home, keys)};
+				}
+
+				// Each result settles its key before those who wait for it go on.
+				// eslint-disable-next-line no-await-in-loop
+				await Promise.all(running.values());
+			}
+		},
+	};
+}
+
+function createKeyedRequest(call: KeyedCall): KeyedRequest {
+	const {method, path, service} = call.head;
+	return {
+		keyId: call.keyId,
+		expiresAt: call.expiresAt,
+		fingerprint: fingerprintRequest({method, path, service, body: call.body}),
+	};
+}
+
+function keepAnswer({status, headers, body}: AttemptAnswered): KeptAnswer {
+	return {status, headers, body: isWhole(body) ? body : undefined};
+}
+
+function restoreAnswer({status, headers, body}: KeptAnswer): AttemptResult {
+	const {answered: kind} = attemptResultKinds;
+	return body
+		? {kind, status, headers, body, load: undefined}
+		: createRanAnswer(
+				'the request ran, its answer was too large to keep: ask the service for it',
+			);
+}
+
+/**
+ * Tells a caller that its request ran, where the server's answer cannot be had.
+ *
+ * @param message what happened, and the remedy
+ * @returns an answer in place of the server's
+ */
+export function createRanAnswer(message: string): AttemptResult {
+	const document = {kind: refusalKinds.keyHomeGone, message, outcome: outcomes.ran};
+	return {
+		kind: attemptResultKinds.answered,
+		status: 409,
+		headers: ['content-type', 'application/json'],
+		body: Buffer.from(JSON.stringify(document)),
+		load: undefined,
+	};
+}
+
+function refuse(kind: RefusedClaim): AttemptResult {
+	return {kind: attemptResultKinds.refused, ...judgeClaim(kind), load: undefined};
+}
--- a/src/node/peer-client.ts
+++ b/src/node/peer-client.ts
@@ -20,20 +20,28 @@
 	type Refusal,
 	type RunningAttempt,
 } from '../call/index.js';
+import {formatHome} from '../binding/index.js';
 import type {Member} from '../membership/index.js';
 import {
 	exchangeKinds,
 	startExchange,
 	type ExchangeAnswered,
 	type ExchangeResult,
+	type RunningExchange,
 } from './exchange.js';
+import type {KeyedCall} from './key-home.js';
+import type {SendToHome} from './keyed-call.js';
 
 export type PeerClient = {
 	readonly send: (member: Member, request: AttemptRequest) => RunningAttempt;
+	/** Brings a keyed call to its home. */
+	readonly sendToHome: SendToHome;
 	readonly close: () => void;
 };
 
 const idleConnectionMilliseconds = 30_000;
+/** The home gives up by itself at the deadline; the ingress waits this much longer. */
+const homeGraceMilliseconds = 100;
 
 /**
  * Creates the client of other nodes' gates.
@@ -57,6 +65,19 @@
 			});
 			return {result: exchange.result.then(readPeerResult), cancel: exchange.cancel};
 		},
+		async sendToHome(home, call) {
+			const exchange = startExchange({
+				agent,
+				host: home.host,
+				port: home.port,
+				method: call.head.method,
+				path: call.head.path,
+				headers: listKeyHeaders(call, now()),
+				body: call.body,
+				awaitContinue: false,
+			});
+			return waitForHome(exchange, call.head.deadlineAt - now());
+		},
 		close() {
 			agent.destroy();
 		},
@@ -84,6 +105,58 @@
 	];
 }
 
+function listKeyHeaders(call: KeyedCall, now: number): string[] {
+	const {head} = call;
+	const remaining = Math.max(0, Math.round(head.deadlineAt - now));
+	return [
+		...call.headers,
+		headerNames.keyHome,
+		formatHome(call.home),
+		headerNames.keyId,
+		call.keyId,
+		headerNames.keyExpiry,
+		String(call.expiresAt),
+		headerNames.service,
+		head.service,
+		headerNames.rank,
+		head.rank,
+		headerNames.caller,
+		head.caller,
+		headerNames.deadline,
+		String(remaining),
+		headerNames.retries,
+		String(head.retries),
+	];
+}
+
+async function waitForHome(
+	exchange: RunningExchange,
+	milliseconds: number,
+): Promise<AttemptResult | undefined> {
+	const timer = setTimeout(exchange.cancel, milliseconds + homeGraceMilliseconds);
+	const result = await exchange.result;
+	clearTimeout(timer);
+	if (result.kind === exchangeKinds.unsent) {
+		return undefined;
+	}
+
+	const read = readPeerResult(result);
+	return read.kind === attemptResultKinds.lost ? createLostHome(read.message) : read;
+}
+
+function createLostHome(message: string): AttemptResult {
+	const remedy = 'send it again with the same Idempotency-Key to learn what became of it';
+	return {
+		kind: attemptResultKinds.refused,
+		refusal: createRefusal(
+			refusalKinds.serverFailed,
+			`contact with the home of the key was lost (${message}): ${remedy}`,
+		),
+		outcome: outcomes.unknown,
+		load: undefined,
+	};
+}
+
 function readPeerResult(result: ExchangeResult): AttemptResult {
 	if (result.kind === exchangeKinds.lost) {
 		return {kind: attemptResultKinds.lost, message: result.message};
--- a/src/node/peer-listener.ts
+++ b/src/node/peer-listener.ts
@@ -10,23 +10,24 @@
 import {
 	attemptResultKinds,
 	copyEndToEndHeaders,
-	createRefusal,
 	headerNames,
-	outcomes,
 	parseAttemptId,
-	refusalKinds,
 	type AttemptRequest,
 	type AttemptResult,
 	type Body,
 	type RunningAttempt,
 } from '../call/index.js';
-import {writeAnswer, writeRefusal} from './answer.js';
+import {refuseStranger, writeResult} from './answer.js';
+import type {KeyedCall} from './key-home.js';
+import {receiveKeyed} from './key-listener.js';
 import {hasSmallBody, readSmallBody} from './request-body.js';
 
 type PeerListenerOptions = {
 	readonly run: (request: AttemptRequest) => RunningAttempt;
 	/** Whether the measuring budget covers a load header of this value. */
 	readonly grantLoad: (load: string) => boolean;
+	/** Runs a keyed call whose home this node is said to be. */
+	readonly runKeyed: (call: KeyedCall) => Promise<AttemptResult>;
 	/** Present time, milliseconds of the monotonic clock. */
 	readonly now: () => number;
 };
@@ -61,6 +62,11 @@
 	response: ServerResponse,
 	onDispatch: (() => void) | undefined,
 ): void {
+	if (request.headers[headerNames.keyHome] !== undefined) {
+		receiveKeyed(options, request, response);
+		return;
+	}
+
 	const startWith = (body: Body): void => {
 		start(options, readAttempt(request, body, onDispatch, options.now()), response);
 	};
@@ -79,11 +85,7 @@
 	response: ServerResponse,
 ): void {
 	if (attempt === undefined) {
-		const refusal = createRefusal(
-			refusalKinds.malformed,
-			'this listener serves other nodes only: send calls to the data listener',
-		);
-		writeRefusal(response, refusal, outcomes.notRun);
+		refuseStranger(response);
 		return;
 	}
 
@@ -91,7 +93,7 @@
 	response.once('close', running.cancel);
 	void running.result.then(result => {
 		response.removeListener('close', running.cancel);
-		writeResult(response, result, options.grantLoad);
+		writeAttemptResult(response, result, options.grantLoad);
 	});
 }
 
@@ -127,31 +129,13 @@
 	return typeof value === 'string' ? value : '';
 }
 
-function writeResult(
+function writeAttemptResult(
 	response: ServerResponse,
 	result: AttemptResult,
 	grantLoad: (load: string) => boolean,
 ): void {
-	if (result.kind === attemptResultKinds.answered) {
-		writeAnswer(response, result, listLoadHeader(result.load, grantLoad));
-		return;
-	}
-
-	if (result.kind === attemptResultKinds.refused) {
-		writeRefusal(
-			response,
-			result.refusal,
-			result.outcome,
-			listLoadHeader(result.load, grantLoad),
-		);
-		return;
-	}
-
-	const refusal = createRefusal(
-		refusalKinds.serverFailed,
-		`contact with the server was lost (${result.message}): send idempotent requests again`,
-	);
-	writeRefusal(response, refusal, outcomes.unknown);
+	const load = result.kind === attemptResultKinds.lost ? undefined : result.load;
+	writeResult(response, result, listLoadHeader(load, grantLoad));
 }
 
 function listLoadHeader(
--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -23,7 +23,7 @@
 	type Announced,
 } from './announcements.js';
 import {listenForAdministration} from './administration.js';
-import {createCallRunner} from './call-runner.js';
+import {createCallRunner, type RunCall} from './call-runner.js';
 import {followConfiguration, type NodeConfiguration} from './configuration.js';
 import {createGate, type Gate} from './gate.js';
 import {createIngress, type Ingress} from './ingress.js';
@@ -32,6 +32,7 @@
 	createAttemptControl,
 	type AttemptCanceller,
 } from './attempt-control.js';
+import {createNodeKeys, type NodeKeys} from './keys.js';
 import {listenForControl} from './control.js';
 import {listen, type ListenError} from './listener.js';
 import {joinMesh, openTable} from './mesh.js';
@@ -92,7 +93,23 @@
 		const meter = createMeasuringMeter(startingPolicies.measuring);
 		const peers = createPeerClient(now);
 		const canceller = createAttemptCanceller();
-		const ingress = createNodeIngress({following, membership, gate, peers, canceller});
+		const runCall = createNodeRunner({
+			following,
+			membership,
+			gate,
+			peers,
+			canceller,
+		});
+		const keys = createNodeKeys({
+			settings,
+			membership,
+			table,
+			runCall,
+			sendToHome: peers.sendToHome,
+			now,
+			log,
+		});
+		const ingress = createNodeIngress(following, runCall, keys);
 		const policies = createPolicySwitch(following, gate, meter);
 		const announcements = createAnnouncements({
 			now,
@@ -104,6 +121,7 @@
 		const peerListener = createPeerListener({
 			run: gate.run,
 			grantLoad: load => trySpendOnHeader(meter, load),
+			runKeyed: keys.runAtHome,
 			now,
 		});
 		const {host} = settings.node;
@@ -124,8 +142,9 @@
 				membership,
 				following,
 				log,
-				dumps: {gate: gate.state, ingress: ingress.state},
+				dumps: {gate: gate.state, ingress: ingress.state, keys: keys.state},
 				requestStop,
+				issueKeys: keys.issueMany,
 			}),
 		};
 		yield* expireRegularly(announcements.expire);
@@ -137,7 +156,7 @@
 			}),
 		);
 		log.info('node started', {nodeId: settings.node.id, incarnation, ...ports});
-		return {ports, stop: stopNode({ingress, gate, membership, log})};
+		return {ports, stop: stopNode({ingress, gate, keys, membership, log})};
 	});
 }
 
@@ -167,7 +186,7 @@
 	);
 }
 
-type IngressParts = {
+type RunnerParts = {
 	readonly following: NodeConfiguration;
 	readonly membership: Membership;
 	readonly gate: Gate;
@@ -175,7 +194,7 @@
 	readonly canceller: AttemptCanceller;
 };
 
-function createNodeIngress(parts: IngressParts): Ingress {
+function createNodeRunner(parts: RunnerParts): RunCall {
 	const {following, membership, gate, peers, canceller} = parts;
 	const self = membership.self();
 	const router = createRouter({
@@ -189,7 +208,7 @@
 		now,
 		random: Math.random,
 	});
-	const runCall = createCallRunner({
+	return createCallRunner({
 		ingressName: formatIngress(self.nodeId, self.incarnation),
 		wallClock: Date.now,
 		now,
@@ -202,8 +221,30 @@
 		confirmNotRun: canceller.confirmNotRun,
 		grantRetry: router.grantRetry,
 	});
+}
+
+/** A call that may repeat runs at once; any other goes to the home of its key. */
+function createNodeIngress(
+	following: NodeConfiguration,
+	runCall: RunCall,
+	keys: NodeKeys,
+): Ingress {
 	const {findPolicy, findUnreadiness} = following;
-	return createIngress({now, findPolicy, findUnreadiness, runCall});
+	return createIngress({
+		now,
+		findPolicy,
+		findUnreadiness,
+		runCall: request =>
+			request.head.idempotent
+				? runCall(request)
+				: {result: keys.run(request), cancel: keepRunning},
+		answerOwn: keys.answerOwn,
+	});
+}
+
+/** A keyed call outlives its caller: the answer is kept for the next sending. */
+function keepRunning(): void {
+	// Nothing to cancel.
 }
 
 /** The load header on an answer is paid from the measuring budget, or left out. */
@@ -262,11 +303,12 @@
 	readonly ingress: Ingress;
 	readonly gate: Gate;
 	readonly membership: Membership;
+	readonly keys: NodeKeys;
 	readonly log: Logger;
 };
 
 function stopNode(parts: StopParts): Effect.Effect<void> {
-	const {ingress, gate, membership, log} = parts;
+	const {ingress, gate, keys, membership, log} = parts;
 	return Effect.gen(function* () {
 		log.info('node leaving', {inFlight: gate.state().inFlight});
 		gate.setLeaving(true);
@@ -274,6 +316,7 @@
 		yield* Effect.promise(async () => membership.leave());
 		yield* Effect.sleep(Duration.millis(leaveNoticeMilliseconds));
 		ingress.server.close();
+		yield* Effect.promise(keys.close);
 		yield* Effect.promise(async () => ingress.drained());
 		yield* Effect.promise(async () => gate.drained());
 		log.info('node stopped');
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -67,6 +67,14 @@
 				.default([]),
 		})
 		.prefault({}),
+	/** Keys of requests that must not repeat. */
+	binding: z
+		.strictObject({
+			/** The same at every node, newest first; the first signs issued keys. */
+			keySecrets: z.array(z.string().min(16)).min(1).max(8).optional(),
+			keyLifetimeMilliseconds: z.int().min(1000).max(604_800_000).default(3_600_000),
+		})
+		.prefault({}),
 	/** How changes of state are logged. */
 	log: z.strictObject({format: z.enum(logFormats).default(logFormats.json)}).prefault({}),
 	/** Policies of services until a configuration is in force. */
--- a/test/binding/issued-key.test.ts
+++ b/test/binding/issued-key.test.ts
@@ -16,7 +16,7 @@
 
 const secrets: KeySecrets = ['first secret'];
 const request: IssueRequest = {
-	home: {nodeId: 'north-1', incarnation: 'k3Yw'},
+	home: {nodeId: 'north-1', incarnation: 'k3Yw', host: '10.0.0.7', port: 7002},
 	scope: {service: 'booking', team: ''},
 	expiresAt: 1_800_000_000_000,
 	block: false,
--- a/test/binding/model/sending-moves.ts
+++ b/test/binding/model/sending-moves.ts
@@ -89,7 +89,7 @@
 
 export function routeSending(world: World, sending: Sending): void {
 	const wanted: Binding = {
-		home: sending.ingress,
+		home: {...sending.ingress, host: '10.0.0.1', port: 7002},
 		nonce: `${sending.ingress.nodeId}/${sending.ingress.incarnation}/${world.left.sendings}`,
 		expiresAt: world.clock + expiresAt,
 	};
--- a/test/support/mesh.ts
+++ b/test/support/mesh.ts
@@ -70,11 +70,13 @@
  *
  * @param cleaner the test, which ends the processes when it is over
  * @param nodes the nodes to start
+ * @param extraSettings further settings of every node
  * @returns the nodes in the given order
  */
 export async function startMesh(
 	cleaner: Cleaner,
 	nodes: readonly MeshNodeOptions[],
+	extraSettings: Readonly<Record<string, unknown>> = {},
 ): Promise<MeshNode[]> {
 	const ports = await findFreePorts(nodes.length * portsPerNode);
 	const members = nodes.map((node, index) => ({
@@ -89,7 +91,11 @@
 	const started = await Promise.all(
 		nodes.map(async (node, index) => {
 			const nodePorts = ports.slice(index * portsPerNode, (index + 1) * portsPerNode);
-			return startMeshNode(cleaner, node, members[index]!, {seeds, nodePorts});
+			return startMeshNode(cleaner, node, members[index]!, {
+				seeds,
+				nodePorts,
+				extraSettings,
+			});
 		}),
 	);
 	const served = new Set(nodes.map(({service}) => service));
@@ -106,6 +112,7 @@
 export type JournalEntry = {
 	readonly requestId: string;
 	readonly key: string;
+	readonly path: string;
 	readonly state: 'running' | 'completed' | 'cancelled' | 'failed';
 };
 
@@ -128,7 +135,7 @@
 	cleaner: Cleaner,
 	node: MeshNodeOptions,
 	member: {nodeId: string; region: string; failureDomain: string},
-	mesh: {seeds: string[]; nodePorts: number[]},
+	mesh: {seeds: string[]; nodePorts: number[]; extraSettings: Record<string, unknown>},
 ): Promise<MeshNode> {
 	const [data, peer, control, local, administration] = mesh.nodePorts;
 	const settingsFile = writeSettings({
@@ -141,6 +148,8 @@
 		listeners: {data, peer, control, local, administration},
 		seeds: mesh.seeds,
 		services,
+		binding: {keySecrets: ['secret of the test mesh']},
+		...mesh.extraSettings,
 	});
 	const started = await startProcess<NodePorts>(cleaner, 'foxtailtide', [
 		'node',
