Add the demo, examples of node settings, experiments, and the pages for people who use it

The command library is taken by its parts: its index looks for a package file beside the bundle on start, of which a single executable warns on each run. The warning is gone.

The test of the single executable expected 404 for an unknown service. A node that no configuration has reached now refuses with 503 not-ready before it looks at the service, so the test expects exactly that, and takes fixed control ports, which nodes insist on.

Example digests are quoted: YAML reads one of digits only as a number, which check found.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -5,6 +5,7 @@
 import {build} from 'esbuild';
 
 const entries = {
+	demo: 'demo/main.ts',
 	foxtailtide: 'src/main.ts',
 	'stand-in-server': 'stand-ins/server/main.ts',
 	'stand-in-table': 'stand-ins/table/main.ts',
--- a/src/command/administration-command.ts
+++ b/src/command/administration-command.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {userInfo} from 'node:os';
 import process from 'node:process';
-import {Flags} from '@oclif/core';
+import * as Flags from '@oclif/core/flags';
 import type {Result} from 'neverthrow';
 import {
 	askAdministration,
--- a/src/command/base-command.ts
+++ b/src/command/base-command.ts
@@ -1,6 +1,6 @@
 /** What every command shares: how it fails, and how it prints for people and for scripts. */
 import {readFileSync} from 'node:fs';
-import {Command} from '@oclif/core';
+import {Command} from '@oclif/core/command';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
 export abstract class BaseCommand extends Command {
--- a/src/command/check.ts
+++ b/src/command/check.ts
@@ -1,6 +1,6 @@
 /** Checks settings, configuration and experiment files without starting anything. */
 import process from 'node:process';
-import {Args} from '@oclif/core';
+import * as Args from '@oclif/core/args';
 import {parse as parseYaml} from 'yaml';
 import {parseConfiguration} from '../configuration/index.js';
 import {parseExperiment} from '../load/index.js';
--- a/src/command/configuration.ts
+++ b/src/command/configuration.ts
@@ -1,5 +1,5 @@
 /** Commands for configurations: apply one, see who changed what, and who has it in force. */
-import {Args} from '@oclif/core';
+import * as Args from '@oclif/core/args';
 import {z} from 'zod';
 import {parseConfiguration} from '../configuration/index.js';
 import {formatFaults} from '../settings/index.js';
--- a/src/command/load.ts
+++ b/src/command/load.ts
@@ -1,7 +1,8 @@
 /** Runs an experiment of the load tool. */
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
-import {Args, Flags} from '@oclif/core';
+import * as Args from '@oclif/core/args';
+import * as Flags from '@oclif/core/flags';
 import {
 	findTargetsBeyondLoopback,
 	formatPage,
--- a/src/command/node-administration.ts
+++ b/src/command/node-administration.ts
@@ -1,5 +1,6 @@
 /** Commands for one node: its state, the members it knows, its drain, and keys that it issues. */
-import {Args, Flags} from '@oclif/core';
+import * as Args from '@oclif/core/args';
+import * as Flags from '@oclif/core/flags';
 import {z} from 'zod';
 import {AdministrationCommand, targetFlags} from './administration-command.js';
 
--- a/src/command/node.ts
+++ b/src/command/node.ts
@@ -1,6 +1,6 @@
 /** Runs one node until it is told to stop. */
 import process from 'node:process';
-import {Flags} from '@oclif/core';
+import * as Flags from '@oclif/core/flags';
 import {Effect} from 'effect';
 import {createLogger} from '../log/index.js';
 import {runNode} from '../node/index.js';
--- a/src/command/preset.ts
+++ b/src/command/preset.ts
@@ -1,5 +1,5 @@
 /** Commands for presets: list them, show one, switch to one. */
-import {Args} from '@oclif/core';
+import * as Args from '@oclif/core/args';
 import {stringify} from 'yaml';
 import {z} from 'zod';
 import {
--- a/src/command/program.ts
+++ b/src/command/program.ts
@@ -4,15 +4,13 @@
  */
 import path from 'node:path';
 import process from 'node:process';
-import {
-	Errors,
-	Flags,
-	flush,
-	handle,
-	run,
-	type Command,
-	type Interfaces,
-} from '@oclif/core';
+import type {Command} from '@oclif/core/command';
+import {CLIError} from '@oclif/core/errors';
+import * as Flags from '@oclif/core/flags';
+import {flush} from '@oclif/core/flush';
+import {handle} from '@oclif/core/handle';
+import type * as Interfaces from '@oclif/core/interfaces';
+import {run} from '@oclif/core/run';
 import {CheckCommand} from './check.js';
 import {
 	ConfigurationApplyCommand,
@@ -115,7 +113,7 @@
 function findCommand(id: string): Command.Class {
 	const commandClass = commands.get(id);
 	if (commandClass === undefined) {
-		throw new Errors.CLIError(`command ${id} not found: see ${product.name} --help`);
+		throw new CLIError(`command ${id} not found: see ${product.name} --help`);
 	}
 
 	return commandClass;
--- a/test/examples/examples.test.ts
+++ b/test/examples/examples.test.ts
@@ -1,9 +1,11 @@
 /** The example files are without faults and hold what both deployments need. */
-import {readFileSync} from 'node:fs';
+import {readdirSync, readFileSync} from 'node:fs';
 import path from 'node:path';
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {parseConfiguration} from '../../src/configuration/index.js';
+import {parseExperiment} from '../../src/load/index.js';
+import {formatFaults, parseSettings} from '../../src/settings/index.js';
 
 const examples = path.resolve(import.meta.dirname, '../../examples');
 
@@ -28,3 +30,24 @@
 		}
 	});
 }
+
+for (const {team} of cases) {
+	test(`the node settings of ${team} are without faults`, () => {
+		const text = readFileSync(path.join(examples, team, 'node.yaml'), 'utf8');
+		const faults = parseSettings(text).match(
+			() => '',
+			found => formatFaults('node.yaml', found),
+		);
+		expect(faults).toEqual('');
+	});
+}
+
+const experiments = path.resolve(import.meta.dirname, '../../bench/experiments');
+for (const file of readdirSync(experiments)) {
+	test(`the experiment ${file} is without faults`, () => {
+		const text = readFileSync(path.join(experiments, file), 'utf8');
+		expect(parseExperiment(text)._unsafeUnwrap().name).toEqual(
+			path.basename(file, '.yaml'),
+		);
+	});
+}
--- a/test/process/binary.test.ts
+++ b/test/process/binary.test.ts
@@ -8,14 +8,16 @@
 import {expect} from 'earl';
 import {product} from '../../src/command/index.js';
 import {sendCall} from '../support/http.js';
-import {writeSettings} from '../support/processes.js';
+import {findFreePorts, writeSettings} from '../support/processes.js';
 
 const root = path.resolve(import.meta.dirname, '../..');
 const executable = path.join(root, 'dist/foxtailtide');
 
-const settings = {
-	node: {id: 'coast-1', host: '127.0.0.1', region: 'coast', failureDomain: 'coast-a'},
-	listeners: {data: 0, peer: 0, control: 0, local: 0, administration: 0},
+const node = {
+	id: 'coast-1',
+	host: '127.0.0.1',
+	region: 'coast',
+	failureDomain: 'coast-a',
 };
 
 test('the single executable tells its version and runs a node that answers', async context => {
@@ -25,13 +27,18 @@
 	const version = execFileSync(executable, ['version'], {encoding: 'utf8'});
 	expect(version).toInclude(product.version);
 
-	const child = spawn(executable, ['node', '--settings', writeSettings(settings)]);
+	const [peer, control] = await findFreePorts(2);
+	const listeners = {data: 0, peer, control, local: 0, administration: 0};
+	const settings = writeSettings({node, listeners});
+	const child = spawn(executable, ['node', '--settings', settings]);
 	const exit = once(child, 'exit');
 	context.after(() => child.kill('SIGKILL'));
 	const output: unknown[] = await once(createInterface({input: child.stdout}), 'line');
 	const {data} = JSON.parse(String(output[0])) as {readonly data: number};
 	const answer = await sendCall({port: data, service: 'unheard-of'});
-	expect([answer.status, answer.outcome]).toEqual([404, 'not-run']);
+	const refusal = answer.headers['foxtailtide-refusal'];
+	// A node that no configuration has reached is not ready.
+	expect([answer.status, refusal, answer.outcome]).toEqual([503, 'not-ready', 'not-run']);
 	child.kill('SIGTERM');
 	expect(await exit).toEqual([0, null]);
 });
