Pick test ports below those of outgoing connections

Cause: a start of 60 nodes met a port that the system had meanwhile given to an outgoing connection (EADDRINUSE at one node). Trying again at another port was ruled out, as the other nodes' seeds name it.

--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -5,7 +5,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtempSync, writeFileSync} from 'node:fs';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -14,6 +14,8 @@
 
 const root = path.resolve(import.meta.dirname, '../..');
 const startTimeoutMilliseconds = 20_000;
+const lowestPort = 10_000;
+const highestPort = 32_000;
 
 export type StartedProcess<Ready> = {
 	readonly child: ChildProcess;
@@ -104,22 +106,40 @@
 	return first;
 }
 
-/** Ports that were free a moment ago. */
+/**
+ * Finds ports that were free a moment ago, below those that the system gives to outgoing
+ * connections, so that none is taken before its listener starts.
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () =>
-		createServer().listen(0, '127.0.0.1'),
-	);
-	await Promise.all(servers.map(async server => once(server, 'listening')));
-	const ports = servers.map(server => (server.address() as AddressInfo).port);
-	await Promise.all(
-		servers.map(async server => {
-			server.close();
-			await once(server, 'close');
-		}),
-	);
+	const span = highestPort - lowestPort;
+	const start = Math.floor(Math.random() * span);
+	const ports: number[] = [];
+	for (let offset = 0; ports.length < count; offset += 1) {
+		const port = lowestPort + ((start + offset) % span);
+		if (await isFree(port)) {
+			ports.push(port);
+		}
+	}
+
 	return ports;
 }
 
+async function isFree(port: number): Promise<boolean> {
+	const server = createServer();
+	try {
+		const listening = once(server, 'listening');
+		server.listen(port, '127.0.0.1');
+		await listening;
+	} catch {
+		return false;
+	}
+
+	const closed = once(server, 'close');
+	server.close();
+	await closed;
+	return true;
+}
+
 /** Writes a settings file into a folder of its own. */
 export function writeSettings(settings: unknown): string {
 	const file = path.join(
