--- a/demo/mesh.ts
+++ b/demo/mesh.ts
@@ -153,6 +153,7 @@
 			failureDomain: node.failureDomain,
 		},
 		listeners: node.ports,
+		binding: {keySecrets: [createHash('sha256').update(`keys ${token}`).digest('hex')]},
 		administration: {
 			tokens: [
 				{team, role: 'operate', sha256: createHash('sha256').update(token).digest('hex')},
--- a/test/process/bad-input.test.ts
+++ b/test/process/bad-input.test.ts
@@ -126,6 +126,18 @@
 		status: 400,
 		refusal: 'malformed',
 	},
+	{
+		name: 'work that must not repeat without a key',
+		text: `POST / HTTP/1.1\r\n${host}${service}content-length: 3\r\n\r\nabc`,
+		status: 428,
+		refusal: 'key-missing',
+	},
+	{
+		name: 'a forged issued key',
+		text: `POST / HTTP/1.1\r\n${host}${service}idempotency-key: ftk1.AAAA.BBBB\r\ncontent-length: 3\r\n\r\nabc`,
+		status: 400,
+		refusal: 'key-invalid',
+	},
 	{
 		name: 'a body that stops short and never goes on',
 		text: `POST / HTTP/1.1\r\n${host}${service}idempotency-key: k\r\nfoxtailtide-deadline-ms: 300\r\ncontent-length: 40\r\n\r\nabc`,
