Hold what callers are told against the servers' journals, and push the unknown share down

Cause: an idempotent call whose tries ended without a server was told unknown without asking any gate; a call that must not repeat was told not-run after proof although time was left to run it elsewhere; and the gate's answer was waited for 500 ms from the loss, not from the deadline. Ruled out: the tombstones (the table of attempts was right in every case).

Change: a call keeps its doubtful attempts; before it ends it asks their gates, until half a second after the deadline, and what they disprove is struck off. With nothing left in doubt and time left the call is tried again. When every server was tried and none refused for overload, a second round starts after 20 ms. The retry budget is asked last, so a step that takes no retry spends none. Test ports come from blocks that one test process claims; a free port found by asking the system was taken by another process's connection once.

--- a/src/call/index.ts
+++ b/src/call/index.ts
@@ -43,6 +43,7 @@
 	type HeaderList,
 } from './headers.js';
 export {
+	decideEnd,
 	decideNextStep,
 	maximumAttempts,
 	nextStepKinds,
--- a/src/call/next-step.ts
+++ b/src/call/next-step.ts
@@ -1,10 +1,10 @@
 /**
- * What follows an attempt: answer the caller, try again elsewhere, or first ask the gate
- * whether the attempt ever reached the server. Pure, so that every combination of outcome,
- * method and time can be held in a table.
+ * What follows an attempt: answer the caller, try again elsewhere, or end the call. Pure, so
+ * that every combination of outcome, method and time can be held in a table.
  *
- * An attempt that may have run stays in the account of the call: when a later attempt is
- * refused, the caller is told `unknown`, not `not-run`.
+ * A call keeps an account of its attempts that may have run. Before it tells its caller
+ * `unknown`, it asks the gates of the doubtful ones; what they disprove is struck off, and
+ * what remains decides the outcome.
  */
 import {attemptResultKinds, type AttemptResult} from './attempt-request.js';
 import type {CallHead} from './head.js';
@@ -14,36 +14,25 @@
 export const nextStepKinds = {
 	/** Pass the server's answer on. */
 	answer: 'answer',
-	/** Tell the caller that its request is refused. */
-	refuse: 'refuse',
 	/** Try another server. */
 	retry: 'retry',
-	/** Ask the gate to cancel the attempt and say whether it was ever dispatched. */
-	confirm: 'confirm',
+	/** Ask the gates of doubtful attempts, then end the call with this refusal. */
+	end: 'end',
 } as const;
 
 export type NextStep =
 	| {readonly kind: typeof nextStepKinds.answer}
-	| {
-			readonly kind: typeof nextStepKinds.refuse;
-			readonly refusal: Refusal;
-			readonly outcome: Outcome;
-	  }
 	| {readonly kind: typeof nextStepKinds.retry}
-	| {readonly kind: typeof nextStepKinds.confirm};
+	| {readonly kind: typeof nextStepKinds.end; readonly refusal: Refusal};
 
 /** How a call stands when an attempt has settled. */
 export type CallProgress = {
 	/** Attempts made, with the one that has just settled. */
 	readonly attempts: number;
-	/** Whether an earlier attempt may have run. */
-	readonly mayHaveRun: boolean;
 	/** Whether the body can be sent again. */
 	readonly replayable: boolean;
-	/** Whether the gate has been asked about this attempt already. */
-	readonly confirmed: boolean;
-	/** Whether the retry budget grants one more attempt after a failure. */
-	readonly retryGranted: boolean;
+	/** Spends one retry of the budget, if it holds one; asked only when nothing else forbids it. */
+	readonly grantRetry: () => boolean;
 };
 
 /** Attempts per call at the most, the first included. */
@@ -77,60 +66,56 @@
 		return {kind: nextStepKinds.answer};
 	}
 
-	if (result.kind === attemptResultKinds.lost) {
-		return decideAfterLoss(head, result.message, progress, now);
-	}
-
-	if (result.outcome !== outcomes.notRun) {
-		return decideAfterUnknown(head, result.refusal, progress, now);
-	}
-
-	if (localRefusals.has(result.refusal.kind) && mayTryAgain(head, progress, now)) {
+	const refusal =
+		result.kind === attemptResultKinds.lost
+			? createLoss(head, result.message)
+			: result.refusal;
+	if (isWorthTrying(head, result) && mayTryAgain(head, progress, now)) {
 		return {kind: nextStepKinds.retry};
 	}
 
-	const outcome = progress.mayHaveRun ? outcomes.unknown : outcomes.notRun;
-	return {kind: nextStepKinds.refuse, refusal: result.refusal, outcome};
+	return {kind: nextStepKinds.end, refusal};
 }
 
-function decideAfterLoss(
+/**
+ * Decides how a call ends once the gates of its doubtful attempts have been asked.
+ *
+ * @param head the call
+ * @param mayHaveRun whether an attempt may have run after all
+ * @param progress how the call stands
+ * @param now present time, milliseconds of the monotonic clock
+ * @returns the outcome to tell, or `undefined` when the call may still be tried elsewhere
+ */
+export function decideEnd(
 	head: CallHead,
-	message: string,
+	mayHaveRun: boolean,
 	progress: CallProgress,
 	now: number,
-): NextStep {
-	if (head.idempotent && mayTryAgain(head, progress, now)) {
-		return {kind: nextStepKinds.retry};
-	}
-
-	if (!progress.confirmed) {
-		return {kind: nextStepKinds.confirm};
+): Outcome | undefined {
+	if (mayHaveRun) {
+		return outcomes.unknown;
 	}
 
-	return {
-		kind: nextStepKinds.refuse,
-		refusal: createLoss(head, message),
-		outcome: outcomes.unknown,
-	};
+	return mayTryAgain(head, progress, now) ? undefined : outcomes.notRun;
 }
 
-function decideAfterUnknown(
+function isWorthTrying(
 	head: CallHead,
-	refusal: Refusal,
-	progress: CallProgress,
-	now: number,
-): NextStep {
-	if (head.idempotent && mayTryAgain(head, progress, now)) {
-		return {kind: nextStepKinds.retry};
+	result: Exclude<AttemptResult, {kind: typeof attemptResultKinds.answered}>,
+): boolean {
+	const mayHaveRun =
+		result.kind === attemptResultKinds.lost || result.outcome !== outcomes.notRun;
+	if (mayHaveRun) {
+		return head.idempotent;
 	}
 
-	return {kind: nextStepKinds.refuse, refusal, outcome: outcomes.unknown};
+	return localRefusals.has(result.refusal.kind);
 }
 
 function mayTryAgain(head: CallHead, progress: CallProgress, now: number): boolean {
 	const inTime = now < head.deadlineAt;
-	const inBounds = progress.attempts < maximumAttempts && progress.retryGranted;
-	return inTime && inBounds && progress.replayable;
+	const inBounds = progress.attempts < maximumAttempts;
+	return inTime && inBounds && progress.replayable && progress.grantRetry();
 }
 
 function createLoss(head: CallHead, message: string): Refusal {
--- a/src/node/attempt-control.ts
+++ b/src/node/attempt-control.ts
@@ -22,12 +22,14 @@
 /** Asks gates about attempts. */
 export type AttemptCanceller = {
 	/** Resolves true only if the attempt never was and never will be handed to the server. */
-	readonly confirmNotRun: (member: Member, id: AttemptId) => Promise<boolean>;
+	readonly confirmNotRun: (
+		member: Member,
+		id: AttemptId,
+		timeoutMilliseconds: number,
+	) => Promise<boolean>;
 	readonly close: () => void;
 };
 
-const answerTimeoutMilliseconds = 500;
-
 const proofs: ReadonlySet<Cancellation> = new Set([
 	cancellations.neverDispatched,
 	cancellations.withdrawn,
@@ -71,12 +73,12 @@
 export function createAttemptCanceller(): AttemptCanceller {
 	const clients = createControlClients(AttemptControlClient);
 	return {
-		async confirmNotRun(member, id) {
+		async confirmNotRun(member, id, timeoutMilliseconds) {
 			const request = {...id, nodeId: member.nodeId, incarnation: member.incarnation};
 			const client = clients.at(member.host, member.controlPort);
 			const reply = await askNode<CancelAttemptReply>((metadata, options, callback) => {
 				client.cancelAttempt(request, metadata, options, callback);
-			}, answerTimeoutMilliseconds);
+			}, timeoutMilliseconds);
 			return reply?.neverDispatched === true;
 		},
 		close: clients.close,
--- a/src/node/call-runner.ts
+++ b/src/node/call-runner.ts
@@ -5,6 +5,7 @@
 import {
 	attemptResultKinds,
 	createRefusal,
+	decideEnd,
 	decideNextStep,
 	isWhole,
 	nextSequence,
@@ -16,6 +17,7 @@
 	type AttemptResult,
 	type Body,
 	type CallHead,
+	type CallProgress,
 	type Outcome,
 	type Refusal,
 	type RunningAttempt,
@@ -35,7 +37,11 @@
 	/** Runs an attempt at a member's gate, this node's own included. */
 	readonly send: (member: Member, request: AttemptRequest) => RunningAttempt;
 	/** Asks a gate to cancel an attempt; true only if it was never and will never be dispatched. */
-	readonly confirmNotRun: (member: Member, id: AttemptId) => Promise<boolean>;
+	readonly confirmNotRun: (
+		member: Member,
+		id: AttemptId,
+		timeoutMilliseconds: number,
+	) => Promise<boolean>;
 	/** Whether the retry budget of a service grants one more attempt. */
 	readonly grantRetry: (head: CallHead, result: AttemptResult) => boolean;
 };
@@ -56,19 +62,27 @@
 	readonly settle: (result: AttemptResult) => void;
 	readonly excluded: Set<string>;
 	attempts: number;
-	mayHaveRun: boolean;
+	/** Attempts that contact was lost with, until their gates say otherwise. */
+	doubts: Doubt[];
+	/** Whether a gate has said that an attempt may have run. */
+	ranAtGate: boolean;
+	/** Whether a gate refused for overload, after which a second round would only add to it. */
+	overloaded: boolean;
 	running: RunningAttempt | undefined;
 	finished: boolean;
 };
 
-type Attempted = {
+/** An attempt that may have run, and the gate that can tell. */
+type Doubt = {
 	readonly member: Member;
 	readonly id: AttemptId;
-	readonly result: AttemptResult;
 };
 
 /** A gate refuses in time by itself; the ingress waits this much longer before it gives up. */
 const deadlineGraceMilliseconds = 20;
+/** Even after the deadline a caller is better told late than told nothing certain. */
+const proofGraceMilliseconds = 500;
+const secondRoundDelayMilliseconds = 20;
 
 /**
  * Creates the runner.
@@ -113,17 +127,27 @@
 
 	function tryNext(call: Call): void {
 		const member = options.choose(call.head, call.excluded);
-		if (member === undefined) {
-			const refusal = createRefusal(
-				refusalKinds.noServer,
-				`no server of ${call.head.service} can take the request: try again shortly`,
-			);
-			const outcome = call.mayHaveRun ? outcomes.unknown : outcomes.notRun;
-			finish(call, refuse(refusal, outcome));
+		if (member) {
+			void attempt(call, member);
+			return;
+		}
+
+		if (call.excluded.size > 0 && !call.overloaded) {
+			tryAllAgain(call);
 			return;
 		}
 
-		void attempt(call, member);
+		endRefused(call, createNoServer(call));
+	}
+
+	/** Every server was tried; one that failed a moment ago may be reached by now. */
+	function tryAllAgain(call: Call): void {
+		call.excluded.clear();
+		setTimeout(() => {
+			if (!call.finished) {
+				tryNext(call);
+			}
+		}, secondRoundDelayMilliseconds);
 	}
 
 	async function attempt(call: Call, member: Member): Promise<void> {
@@ -135,25 +159,17 @@
 		call.running = running;
 		const result = await running.result;
 		call.running = undefined;
-		follow(call, {member, id, result}, false);
-	}
-
-	function follow(call: Call, attempted: Attempted, confirmed: boolean): void {
-		const {result} = attempted;
 		if (call.finished) {
 			discard(result);
 			return;
 		}
 
-		const progress = {
-			attempts: call.attempts,
-			mayHaveRun: call.mayHaveRun,
-			replayable: isReplayable(call.body),
-			confirmed,
-			retryGranted:
-				result.kind === attemptResultKinds.answered ||
-				options.grantRetry(call.head, result),
-		};
+		noteResult(call, {member, id}, result);
+		follow(call, result);
+	}
+
+	function follow(call: Call, result: AttemptResult): void {
+		const progress = describeProgress(call, result);
 		const step = decideNextStep(call.head, result, progress, options.now());
 		switch (step.kind) {
 			case nextStepKinds.answer: {
@@ -161,37 +177,56 @@
 				return;
 			}
 
-			case nextStepKinds.refuse: {
-				finish(call, refuse(step.refusal, step.outcome));
+			case nextStepKinds.retry: {
+				tryNext(call);
 				return;
 			}
 
-			case nextStepKinds.confirm: {
-				void confirm(call, attempted);
-				return;
+			case nextStepKinds.end: {
+				endRefused(call, step.refusal);
 			}
+		}
+	}
 
-			case nextStepKinds.retry: {
-				call.mayHaveRun ||= mayHaveRun(result);
-				tryNext(call);
-			}
+	function endRefused(call: Call, refusal: Refusal): void {
+		if (call.ranAtGate || call.doubts.length === 0) {
+			const outcome = call.ranAtGate ? outcomes.unknown : outcomes.notRun;
+			finish(call, refuse(refusal, outcome));
+			return;
+		}
+
+		void endAfterProof(call, refusal);
+	}
+
+	/** Asks the gates of the doubtful attempts before the caller is told anything. */
+	async function endAfterProof(call: Call, refusal: Refusal): Promise<void> {
+		const remaining = call.head.deadlineAt - options.now();
+		const timeout = Math.max(remaining, 0) + proofGraceMilliseconds;
+		const proofs = await Promise.all(
+			call.doubts.map(async ({member, id}) => options.confirmNotRun(member, id, timeout)),
+		);
+		if (call.finished) {
+			return;
+		}
+
+		call.doubts = call.doubts.filter((_doubt, index) => !proofs[index]);
+		const mayHaveRun = call.doubts.length > 0;
+		const progress = describeProgress(call, refuse(refusal, outcomes.notRun));
+		const outcome = decideEnd(call.head, mayHaveRun, progress, options.now());
+		if (outcome === undefined) {
+			tryNext(call);
+			return;
 		}
+
+		finish(call, refuse(mayHaveRun ? refusal : createWithdrawn(), outcome));
 	}
 
-	async function confirm(call: Call, attempted: Attempted): Promise<void> {
-		const notRun = await options.confirmNotRun(attempted.member, attempted.id);
-		const result: AttemptResult = notRun
-			? {
-					kind: attemptResultKinds.refused,
-					refusal: createRefusal(
-						refusalKinds.cancelled,
-						'the request was withdrawn before it reached a server: send it again',
-					),
-					outcome: outcomes.notRun,
-					load: undefined,
-				}
-			: attempted.result;
-		follow(call, {...attempted, result}, true);
+	function describeProgress(call: Call, result: AttemptResult): CallProgress {
+		return {
+			attempts: call.attempts,
+			replayable: isReplayable(call.body),
+			grantRetry: () => options.grantRetry(call.head, result),
+		};
 	}
 
 	return runCall;
@@ -203,7 +238,9 @@
 		settle,
 		excluded: new Set(),
 		attempts: 0,
-		mayHaveRun: false,
+		doubts: [],
+		ranAtGate: false,
+		overloaded: false,
 		running: undefined,
 		finished: false,
 	};
@@ -230,12 +267,31 @@
 	return isWhole(body) || !body.readableDidRead;
 }
 
-function mayHaveRun(result: AttemptResult): boolean {
+/** Keeps the account of attempts that may have run. */
+function noteResult(call: Call, doubt: Doubt, result: AttemptResult): void {
+	if (result.kind === attemptResultKinds.lost) {
+		call.doubts.push(doubt);
+		return;
+	}
+
 	if (result.kind === attemptResultKinds.refused) {
-		return result.outcome !== outcomes.notRun;
+		call.ranAtGate ||= result.outcome !== outcomes.notRun;
+		call.overloaded ||= result.refusal.kind === refusalKinds.overloaded;
 	}
+}
+
+function createNoServer(call: Call): Refusal {
+	return createRefusal(
+		refusalKinds.noServer,
+		`no server of ${call.head.service} can take the request: try again shortly`,
+	);
+}
 
-	return true;
+function createWithdrawn(): Refusal {
+	return createRefusal(
+		refusalKinds.cancelled,
+		'the request was withdrawn before it reached a server: send it again',
+	);
 }
 
 function finish(call: Call, result: AttemptResult): void {
--- a/src/node/control.ts
+++ b/src/node/control.ts
@@ -43,14 +43,15 @@
 const messageLimitBytes = 4_194_304;
 const openClientLimit = 64;
 const idleChannelMilliseconds = 30_000;
-const reconnectMilliseconds = 1000;
+const shortestReconnectMilliseconds = 50;
+const longestReconnectMilliseconds = 200;
 
 /* eslint-disable @typescript-eslint/naming-convention -- The library names its options so. */
 const channelOptions: ChannelOptions = {
 	'grpc.max_receive_message_length': messageLimitBytes,
 	'grpc.client_idle_timeout_ms': idleChannelMilliseconds,
-	'grpc.initial_reconnect_backoff_ms': reconnectMilliseconds / 10,
-	'grpc.max_reconnect_backoff_ms': reconnectMilliseconds,
+	'grpc.initial_reconnect_backoff_ms': shortestReconnectMilliseconds,
+	'grpc.max_reconnect_backoff_ms': longestReconnectMilliseconds,
 	'grpc.enable_channelz': 0,
 };
 /* eslint-enable @typescript-eslint/naming-convention */
@@ -153,7 +154,7 @@
 ): Promise<Reply | undefined> {
 	return new Promise(resolve => {
 		const deadline = Date.now() + timeoutMilliseconds;
-		send(new Metadata(), {deadline}, (error, reply) => {
+		send(new Metadata({waitForReady: true}), {deadline}, (error, reply) => {
 			resolve(error ? undefined : reply);
 		});
 	});
--- a/test/support/mesh.ts
+++ b/test/support/mesh.ts
@@ -3,6 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {openRelay, type Relay} from '../../stand-ins/relay/relay.js';
 import {sendCall} from './http.js';
 import {
 	findFreePorts,
@@ -26,6 +27,8 @@
 	readonly controlPort: number;
 	readonly serverPort: number;
 	readonly settingsFile: string;
+	/** Absent unless the node was started with relays. */
+	readonly links: NodeLinks | undefined;
 };
 
 /** One node of the mesh and the server beside it. */
@@ -35,8 +38,13 @@
 	readonly serviceTimeMilliseconds?: number;
 	readonly region?: string;
 	readonly failureDomain?: string;
+	/** Puts relays before the peer and control listeners, so that a test can cut the node off. */
+	readonly relayed?: boolean;
 };
 
+/** The links by which other nodes reach a node. */
+export type NodeLinks = {readonly peer: Relay; readonly control: Relay};
+
 const portsPerNode = 5;
 const seedCount = 3;
 const readyTimeoutMilliseconds = 10_000;
@@ -138,6 +146,7 @@
 	mesh: {seeds: string[]; nodePorts: number[]; extraSettings: Record<string, unknown>},
 ): Promise<MeshNode> {
 	const [data, peer, control, local, administration] = mesh.nodePorts;
+	const links = node.relayed ? await openLinks(cleaner, peer!, control!) : undefined;
 	const settingsFile = writeSettings({
 		node: {
 			id: member.nodeId,
@@ -146,6 +155,7 @@
 			failureDomain: member.failureDomain,
 		},
 		listeners: {data, peer, control, local, administration},
+		advertise: links && {peer: links.peer.port, control: links.control.port},
 		seeds: mesh.seeds,
 		services,
 		binding: {keySecrets: ['secret of the test mesh']},
@@ -177,7 +187,25 @@
 		controlPort: control!,
 		serverPort: server.ready.port,
 		settingsFile,
+		links,
+	};
+}
+
+async function openLinks(
+	cleaner: Cleaner,
+	peer: number,
+	control: number,
+): Promise<NodeLinks> {
+	const host = '127.0.0.1';
+	const links = {
+		peer: await openRelay({host, port: 0, targetPort: peer}),
+		control: await openRelay({host, port: 0, targetPort: control}),
 	};
+	cleaner.after(async () => {
+		await links.peer.close();
+		await links.control.close();
+	});
+	return links;
 }
 
 async function waitUntilServed(port: number, service: string): Promise<void> {
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -5,7 +5,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtempSync, writeFileSync} from 'node:fs';
-import {createServer} from 'node:net';
+import {createServer, type Server} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -14,8 +14,6 @@
 
 const root = path.resolve(import.meta.dirname, '../..');
 const startTimeoutMilliseconds = 20_000;
-const lowestPort = 10_000;
-const highestPort = 32_000;
 
 export type StartedProcess<Ready> = {
 	readonly child: ChildProcess;
@@ -106,40 +104,74 @@
 	return first;
 }
 
+const firstPort = 10_000;
+const portsPerBlock = 100;
+/** All blocks end below the ports that the system gives to outgoing connections. */
+const blockCount = 220;
+let nextPort = 0;
+let lastPort = 0;
+
 /**
- * Finds ports that were free a moment ago, below those that the system gives to outgoing
- * connections, so that none is taken before its listener starts.
+ * Takes ports that no other test uses. A test process claims whole blocks of ports by listening
+ * on the first of each for as long as it lives.
+ *
+ * @param count how many ports
+ * @returns the ports
  */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const span = highestPort - lowestPort;
-	const start = Math.floor(Math.random() * span);
 	const ports: number[] = [];
-	for (let offset = 0; ports.length < count; offset += 1) {
-		const port = lowestPort + ((start + offset) % span);
-		if (await isFree(port)) {
-			ports.push(port);
+	while (ports.length < count) {
+		if (nextPort >= lastPort) {
+			await claimBlock();
 		}
+
+		if (await isFree(nextPort)) {
+			ports.push(nextPort);
+		}
+
+		nextPort += 1;
 	}
 
 	return ports;
 }
 
+async function claimBlock(): Promise<void> {
+	const start = process.pid % blockCount;
+	for (let step = 0; step < blockCount; step += 1) {
+		const claim = firstPort + ((start + step) % blockCount) * portsPerBlock;
+		const server = await tryListen(claim);
+		if (server) {
+			server.unref();
+			nextPort = claim + 1;
+			lastPort = claim + portsPerBlock;
+			return;
+		}
+	}
+
+	throw new Error('every block of ports is in use: end other test runs first');
+}
+
 async function isFree(port: number): Promise<boolean> {
-	const server = createServer();
-	try {
-		const listening = once(server, 'listening');
-		server.listen(port, '127.0.0.1');
-		await listening;
-	} catch {
+	const server = await tryListen(port);
+	if (!server) {
 		return false;
 	}
 
-	const closed = once(server, 'close');
 	server.close();
-	await closed;
+	await once(server, 'close');
 	return true;
 }
 
+async function tryListen(port: number): Promise<Server | undefined> {
+	const server = createServer().listen(port, '127.0.0.1');
+	try {
+		await once(server, 'listening');
+		return server;
+	} catch {
+		return undefined;
+	}
+}
+
 /** Writes a settings file into a folder of its own. */
 export function writeSettings(settings: unknown): string {
 	const file = path.join(
