--- a/test/call/next-step.test.ts
+++ b/test/call/next-step.test.ts
@@ -24,6 +24,7 @@
 	deadlineAt: now + 100,
 	idempotent: false,
 	key: undefined,
+	isFirstSending: true,
 	retries: 0,
 };
 const idempotentHead = {...head, method: 'GET', idempotent: true};
