--- /dev/null
+++ b/test/membership/seeds.test.ts
@@ -0,0 +1,78 @@
+/** Seeds: addresses, which few nodes keep the rows of the table, and how rarely. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {type Member} from '../../src/membership/member.js';
+import {
+	chooseReadDelay,
+	chooseSeedDelay,
+	chooseSeedRow,
+	parseSeedAddress,
+	seedRowIntervalMilliseconds,
+	seedRowsPerFailureDomain,
+} from '../../src/membership/seeds.js';
+import {createSeedTable} from '../../src/membership/seed-table.js';
+import {withTable} from '../support/table.js';
+import {describeMember} from './mesh.js';
+
+const addresses: ReadonlyArray<readonly [string, unknown]> = [
+	['10.0.0.1:7003', {host: '10.0.0.1', port: 7003}],
+	['[fd00::1]:7003', {host: 'fd00::1', port: 7003}],
+	['10.0.0.1', undefined],
+	['10.0.0.1:', undefined],
+	[':7003', undefined],
+	['10.0.0.1:70000', undefined],
+	['10.0.0.1:x', undefined],
+];
+
+for (const [text, expected] of addresses) {
+	test(`the seed "${text}" is ${expected === undefined ? 'refused' : 'read'}`, () => {
+		expect<unknown>(parseSeedAddress(text).unwrapOr(undefined)).toEqual(expected);
+	});
+}
+
+function describeDomain(failureDomain: string, count: number): Member[] {
+	return Array.from({length: count}, (_, index) =>
+		describeMember({nodeId: `${failureDomain}-${index}`, failureDomain}),
+	);
+}
+
+test('each failure domain has one keeper for each of its rows, however many nodes it has', () => {
+	const members = ['a', 'b'].flatMap(domain => describeDomain(domain, 200));
+	const rows = members
+		.map(member => chooseSeedRow(member, members))
+		.filter(row => row !== undefined)
+		.map(({failureDomain, slot}) => `${failureDomain} ${slot}`);
+	const expected = ['a', 'b'].flatMap(domain =>
+		Array.from({length: seedRowsPerFailureDomain}, (_, slot) => `${domain} ${slot}`),
+	);
+	expect(rows.toSorted()).toEqual(expected);
+});
+
+test('a fleet of any size writes its rows within a fixed budget once it has met', () => {
+	const rows = 7 * seedRowsPerFailureDomain;
+	const shortest = chooseSeedDelay(true, true, () => 0);
+	expect(shortest).toEqual(seedRowIntervalMilliseconds / 2);
+	expect((rows / shortest) * 1000).toBeLessThan(1);
+});
+
+test('nodes that start alone spread their writes, and read ever more rarely', () => {
+	expect(chooseSeedDelay(false, false, () => 1)).toBeLessThanOrEqual(1000);
+	expect(chooseSeedDelay(false, true, () => 1)).toBeGreaterThan(60_000);
+	const delays = [0, 1, 2, 10, 50].map(attempt =>
+		chooseReadDelay(attempt, false, () => 1),
+	);
+	expect(delays).toEqual([1000, 2000, 4000, 60_000, 60_000]);
+});
+
+test('a seed row is written, taken over and read back, and an outage is told', async () => {
+	await withTable(async (table, setFaults) => {
+		const {readSeeds, writeSeed} = createSeedTable(table);
+		expect([...(await readSeeds())]).toEqual([]);
+		await writeSeed({failureDomain: 'a', slot: 0, address: '10.0.0.1:7003'});
+		await writeSeed({failureDomain: 'a', slot: 0, address: '10.0.0.2:7003'});
+		await writeSeed({failureDomain: 'a', slot: 1, address: '10.0.0.3:7003'});
+		expect([...(await readSeeds())]).toEqual(['10.0.0.2:7003', '10.0.0.3:7003']);
+		await setFaults({outage: 'refuses'});
+		await expect(readSeeds()).toBeRejectedWith('the table cannot be reached');
+	});
+});
