--- a/bench/choice.ts
+++ b/bench/choice.ts
@@ -10,7 +10,7 @@
 
 const policy: RoutingPolicy = {
 	choice: choices.adaptive,
-	candidates: 8,
+	candidates: 16,
 	ejectionShare: 0.2,
 	retryShare: 0.1,
 	hedgeShare: 0.05,
