--- a/test/support/keys.ts
+++ b/test/support/keys.ts
@@ -49,6 +49,7 @@
 		readonly sending?: number;
 		readonly service?: string;
 		readonly path?: string;
+		readonly deadlineMilliseconds?: number;
 	} = {},
 ): Promise<CallAnswer> {
 	return sendCall({
@@ -58,6 +59,9 @@
 		path: extra.path ?? '/bookings',
 		headers: {
 			'idempotency-key': key,
+			...(extra.deadlineMilliseconds && {
+				'foxtailtide-deadline-ms': String(extra.deadlineMilliseconds),
+			}),
 			...(extra.sending && {'foxtailtide-sending': String(extra.sending)}),
 		},
 		body: extra.body ?? 'bay 1',
--- /dev/null
+++ b/test/support/random-keys.ts
@@ -0,0 +1,190 @@
+/**
+ * Sends keyed calls through nodes that freeze, die and lose their table at random from a seed,
+ * and compares what the callers were told with what the servers ran.
+ */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {unsafeUniformIntDistribution, xoroshiro128plus} from 'pure-rand';
+import {book, startKeyedMesh, takeKey, type KeyedMesh} from './keys.js';
+import {readJournal, type MeshNode} from './mesh.js';
+import {startProcess, type Cleaner} from './processes.js';
+
+export type RandomRun = {
+	readonly keys: number;
+	readonly seed: number;
+	readonly callers: number;
+};
+
+export type RandomReport = {
+	readonly sendings: number;
+	readonly told: Readonly<Record<string, number>>;
+	readonly faults: Readonly<Record<string, number>>;
+	readonly runs: number;
+	/** Keys that ran more than once. */
+	readonly doubled: readonly string[];
+	/** Keys whose callers were told something that the journals contradict. */
+	readonly contradicted: readonly string[];
+	readonly seconds: number;
+};
+
+type Draw = (most: number) => number;
+type Told = Map<string, string[]>;
+
+const tableFaults = [
+	{outage: 'refuses'},
+	{outage: 'hangs'},
+	{answersLost: {share: 0.3}},
+	{requestsLost: {share: 0.3}},
+];
+const deadlineMilliseconds = 1000;
+const mostSendings = 3;
+const cutPauseMilliseconds = 200;
+
+/**
+ * Runs the calls and the faults.
+ *
+ * @param cleaner ends the processes
+ * @param run how much, and the seed of every choice
+ * @returns what was told and what ran
+ */
+export async function runRandomKeys(
+	cleaner: Cleaner,
+	run: RandomRun,
+): Promise<RandomReport> {
+	const mesh = await startKeyedMesh(cleaner, {slots: 50});
+	const told: Told = new Map();
+	const faults: Record<string, number> = {};
+	const started = Date.now();
+	let isOver = false;
+	const breaking = breakThings(cleaner, mesh, {
+		draw: createDraw(run.seed),
+		faults,
+		isOver: () => isOver,
+	});
+	let next = 0;
+	const callers = Array.from({length: run.callers}, async (_, caller) => {
+		const draw = createDraw(run.seed + caller + 1);
+		while (next < run.keys) {
+			next += 1;
+			await sendKey(mesh.nodes, draw, told);
+		}
+	});
+	await Promise.all(callers);
+	isOver = true;
+	await breaking;
+	return judge(mesh.nodes, told, faults, (Date.now() - started) / 1000);
+}
+
+function createDraw(seed: number): Draw {
+	const generator = xoroshiro128plus(seed);
+	return most => unsafeUniformIntDistribution(0, most, generator);
+}
+
+async function sendKey(nodes: KeyedMesh['nodes'], draw: Draw, told: Told): Promise<void> {
+	const choose = (): MeshNode => nodes[draw(1)]!;
+	const key = await chooseKey(choose, draw);
+	const outcomes: string[] = [];
+	told.set(key, outcomes);
+	const send = async (): Promise<void> => {
+		const {outcome} = await book(choose(), key, {deadlineMilliseconds});
+		outcomes.push(outcome);
+		if (outcome === 'cut') {
+			await sleep(cutPauseMilliseconds);
+		}
+	};
+
+	const count = 1 + draw(mostSendings - 1);
+	if (draw(1) === 0) {
+		await Promise.all(Array.from({length: count}, send));
+		return;
+	}
+
+	for (let sending = 0; sending < count; sending += 1) {
+		await send();
+		await sleep(draw(50));
+	}
+}
+
+/** A node that is down issues no key: the caller makes its own. */
+async function chooseKey(choose: () => MeshNode, draw: Draw): Promise<string> {
+	if (draw(2) === 0) {
+		return randomUUID();
+	}
+
+	const timeout = sleep(deadlineMilliseconds, undefined);
+	const key = await Promise.race([takeKey(choose()).catch(() => undefined), timeout]);
+	return key ?? randomUUID();
+}
+
+type Breaking = {
+	readonly draw: Draw;
+	readonly faults: Record<string, number>;
+	readonly isOver: () => boolean;
+};
+
+async function breakThings(
+	cleaner: Cleaner,
+	mesh: KeyedMesh,
+	{draw, faults, isOver}: Breaking,
+): Promise<void> {
+	const processes = mesh.nodes.map(node => node.process);
+	while (!isOver()) {
+		await sleep(100 + draw(300));
+		const index = draw(1);
+		const target = processes[index]!;
+		const kind = ['freeze', 'freeze', 'table', 'table', 'kill', 'stop'][draw(5)]!;
+		faults[kind] = (faults[kind] ?? 0) + 1;
+		if (kind === 'table') {
+			await mesh.setTableFaults(tableFaults[draw(3)]);
+			await sleep(draw(500));
+			await mesh.setTableFaults({});
+		} else if (kind === 'freeze') {
+			target.signal('SIGSTOP');
+			await sleep(draw(1500));
+			target.signal('SIGCONT');
+		} else {
+			target.signal(kind === 'kill' ? 'SIGKILL' : 'SIGTERM');
+			await Promise.race([target.ended, sleep(3000)]);
+			target.signal('SIGKILL');
+			await target.ended;
+			const parameters = ['node', '--settings', mesh.nodes[index]!.settingsFile];
+			processes[index] = await startProcess(cleaner, 'foxtailtide', parameters);
+		}
+	}
+}
+
+async function judge(
+	nodes: KeyedMesh['nodes'],
+	told: Told,
+	faults: Record<string, number>,
+	seconds: number,
+): Promise<RandomReport> {
+	const journals = await Promise.all(nodes.map(readJournal));
+	const runs = new Map<string, number>();
+	for (const {key} of journals.flat()) {
+		runs.set(key, (runs.get(key) ?? 0) + 1);
+	}
+
+	const all = [...told.values()].flat();
+	const keys = [...told.keys()];
+	return {
+		sendings: all.length,
+		told: Object.fromEntries(
+			[...new Set(all)].map(outcome => [
+				outcome,
+				all.filter(each => each === outcome).length,
+			]),
+		),
+		faults,
+		runs: keys.reduce((sum, key) => sum + (runs.get(key) ?? 0), 0),
+		doubled: keys.filter(key => (runs.get(key) ?? 0) > 1),
+		contradicted: keys.filter(key => contradicts(told.get(key)!, runs.get(key) ?? 0)),
+		seconds,
+	};
+}
+
+function contradicts(outcomes: readonly string[], runs: number): boolean {
+	const saysRan = outcomes.includes('ran');
+	const saysNotRun = outcomes.every(outcome => outcome === 'not-run');
+	return (saysRan && runs === 0) || (saysNotRun && runs > 0);
+}
