--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,9 +1,11 @@
 /**
  * A small mesh on loopback: two regions, four nodes with a server each, the table stand-in and
  * the presets of the Coastal Darkroom example. It shows a call, a preset switch and a state dump,
- * and then stops everything as planned.
+ * and then stops everything as planned. With `--keep` it runs until interrupted instead, for
+ * experiments of the load tool.
  */
 import {randomUUID} from 'node:crypto';
+import {once} from 'node:events';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {createMesh, type Mesh, type MeshNode} from './mesh.js';
@@ -11,7 +13,12 @@
 
 const shownCharacters = 1200;
 
-const {values} = parseArgs({options: {'first-port': {type: 'string', default: '7400'}}});
+const {values} = parseArgs({
+	options: {
+		'first-port': {type: 'string', default: '7400'},
+		keep: {type: 'boolean', default: false},
+	},
+});
 
 function show(title: string, text: string): void {
 	process.stdout.write(`\n== ${title}\n${text.trimEnd()}\n`);
@@ -61,13 +68,26 @@
 	show(`state of ${node.id}`, shown);
 }
 
+async function showAll(mesh: Mesh): Promise<void> {
+	await showCall(mesh.nodes[0]!, 'availability', 'GET');
+	await showCall(mesh.nodes[3]!, 'booking', 'POST');
+	await showPresetSwitch(mesh);
+	await showState(mesh);
+}
+
+/** Leaves the mesh to the user, for experiments, until an interrupt. */
+async function keepRunning(mesh: Mesh): Promise<void> {
+	const ports = mesh.nodes.map(
+		({id, ports}) => `${id}: data listener on port ${ports.data}`,
+	);
+	show('running until interrupted', ports.join('\n'));
+	await Promise.race([once(process, 'SIGINT'), once(process, 'SIGTERM')]);
+}
+
 async function main(): Promise<void> {
 	const mesh = await createMesh(Number(values['first-port']));
 	try {
-		await showCall(mesh.nodes[0]!, 'availability', 'GET');
-		await showCall(mesh.nodes[3]!, 'booking', 'POST');
-		await showPresetSwitch(mesh);
-		await showState(mesh);
+		await (values.keep ? keepRunning(mesh) : showAll(mesh));
 	} finally {
 		show('stopping', 'every node leaves as planned');
 		await mesh.stop();
--- a/src/load/sender.ts
+++ b/src/load/sender.ts
@@ -52,7 +52,9 @@
 		};
 
 		outgoing.on('timeout', () => {
-			outgoing.destroy();
+			outgoing.destroy(
+				Object.assign(new Error('no answer in time'), {code: 'no-answer-in-time'}),
+			);
 		});
 		outgoing.on('error', error => {
 			fail('code' in error ? String(error.code) : 'connection-failed');
--- a/test/load/experiment.test.ts
+++ b/test/load/experiment.test.ts
@@ -1,4 +1,6 @@
 /** The load tool: experiments are checked whole, schedules repeat, counts and latency are true. */
+import {createServer} from 'node:http';
+import {once} from 'node:events';
 import {test} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
@@ -111,3 +113,29 @@
 	expect(formatTable(report)).toInclude('urgent');
 	expect(formatPage(report)).toInclude('<polyline');
 });
+
+test('a request that nobody answers is told unknown, and why', async context => {
+	const silent = createServer(() => {
+		// Every request is left waiting.
+	}).listen(0, '127.0.0.1');
+	await once(silent, 'listening');
+	context.after(() => {
+		silent.close();
+		silent.closeAllConnections();
+	});
+	const address = silent.address();
+	const port = typeof address === 'object' ? address?.port : 0;
+	const experiment = readExperiment({
+		targets: [`127.0.0.1:${port}`],
+		durationSeconds: 0.5,
+	});
+	const streams = experiment.streams.map(stream => ({
+		...stream,
+		deadlineMilliseconds: 1,
+	}));
+	const report = await runExperiment({...experiment, streams});
+	const [urgent] = report.streams;
+	expect(urgent!.sent).toBeGreaterThan(0);
+	expect(urgent!.unknown).toEqual(urgent!.sent);
+	expect(urgent!.refusals).toEqual({'no-answer-in-time': urgent!.sent});
+});
