Let go of control connections before they are ended, so that a stopped node ends at once

The administration listener, timers and the table's connections were ruled out by the list of active handles. The test of the drain failed its bound of 15 s before. A change whose node died after the write is found by polling: a new subtest rewrites the row past the nodes.

--- a/src/node/control.ts
+++ b/src/node/control.ts
@@ -18,7 +18,7 @@
 	type sendUnaryData,
 	type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
-import {Effect, type Scope} from 'effect';
+import {Duration, Effect, type Scope} from 'effect';
 import type {ListenError} from './listener.js';
 
 /** A service that one of the node's tasks offers to other nodes. */
@@ -45,6 +45,7 @@
 const idleChannelMilliseconds = 30_000;
 const shortestReconnectMilliseconds = 50;
 const longestReconnectMilliseconds = 200;
+const closeMilliseconds = 500;
 
 /* eslint-disable @typescript-eslint/naming-convention -- The library names its options so. */
 const channelOptions: ChannelOptions = {
@@ -86,11 +87,28 @@
 			resume(Effect.succeed({server, bound}));
 		});
 	});
-	return Effect.acquireRelease(open, ({server}) =>
-		Effect.sync(() => {
+	return Effect.acquireRelease(open, ({server}) => closeServer(server)).pipe(
+		Effect.map(({bound}) => bound),
+	);
+}
+
+/**
+ * Tells the other nodes to let go of their connections, and ends what is left after a moment. A
+ * connection that is ended without a word stays half open until the other node falls idle, and
+ * keeps this process from ending.
+ */
+function closeServer(server: Server): Effect.Effect<void> {
+	const close = Effect.async<void>(resume => {
+		server.tryShutdown(() => {
+			resume(Effect.void);
+		});
+	});
+	return close.pipe(
+		Effect.timeoutOption(Duration.millis(closeMilliseconds)),
+		Effect.andThen(() => {
 			server.forceShutdown();
 		}),
-	).pipe(Effect.map(({bound}) => bound));
+	);
 }
 
 /**
--- a/test/process/configuration-fleet.test.ts
+++ b/test/process/configuration-fleet.test.ts
@@ -18,6 +18,7 @@
 const failureDomains = 3;
 const boundMilliseconds = 6000;
 const startBoundMilliseconds = 20_000;
+const endBoundMilliseconds = 15_000;
 const sampleMilliseconds = 100;
 
 async function apply(
@@ -174,6 +175,24 @@
 		expect([json.newestVersion, json.isEverywhere]).toEqual([5, true]);
 	});
 
+	await context.test(
+		'a change whose node died after the write is found in the table',
+		async () => {
+			await fleet.rewriteRow('configuration/darkrooms', value => {
+				const stored = JSON.parse(value) as {version: number};
+				return JSON.stringify({...stored, version: 6});
+			});
+			await waitForVersion(fleet.nodes, 6, boundMilliseconds);
+		},
+	);
+
 	const reverted = await stopWatching();
 	expect(reverted).toEqual([]);
+
+	await context.test('a drain by the API ends the process as planned', async () => {
+		const {status} = await askNode(first, 'POST', '/v1/drain');
+		expect(status).toEqual(202);
+		const ended = await Promise.race([first.process.ended, sleep(endBoundMilliseconds)]);
+		expect(ended).toEqual(0);
+	});
 });
--- a/test/process/configuration-support.ts
+++ b/test/process/configuration-support.ts
@@ -1,6 +1,7 @@
 /** A fleet of bare node processes with the table stand-in, and their administration API. */
 import {createHash} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createTableClient} from '../../src/platform/index.js';
 import {
 	findFreePorts,
 	startProcess,
@@ -27,6 +28,8 @@
 	readonly nodes: FleetNode[];
 	readonly setFaults: (faults: unknown) => Promise<void>;
 	readonly readCounters: () => Promise<Record<string, number>>;
+	/** Changes a row of the table past the nodes. */
+	readonly rewriteRow: (key: string, change: (value: string) => string) => Promise<void>;
 };
 
 export type ApiAnswer = {readonly status: number; readonly json: Record<string, unknown>};
@@ -63,6 +66,14 @@
 		async setFaults(faults) {
 			await fetch(`${address}/faults`, {method: 'PUT', body: JSON.stringify(faults)});
 		},
+		async rewriteRow(key, change) {
+			const client = createTableClient({address});
+			const row = await client.read(key);
+			const {value, version} = row._unsafeUnwrap()!;
+			const written = await client.write(key, change(value), {kind: 'version', version});
+			client.close();
+			written._unsafeUnwrap();
+		},
 		async readCounters() {
 			const response = await fetch(`${address}/counters`);
 			return (await response.json()) as Record<string, number>;
