Read configuration documents by the same reader as settings

Cause: finding the lines of faults stood twice. The reader now takes a function that finds breaches of rules between fields, and names bad keys of records; the copy in configuration is gone.

--- a/src/configuration/change.ts
+++ b/src/configuration/change.ts
@@ -4,7 +4,8 @@
  * the same version is told so; nothing is merged.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {parseConfiguration, replaceInForce, type DocumentFault} from './document.js';
+import type {DocumentFault} from '../settings/document.js';
+import {parseConfiguration, replaceInForce} from './document.js';
 import type {ConfigurationDocument} from './schema.js';
 import {digest, type ChangeRecord, type StoredConfiguration} from './stored.js';
 
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -3,7 +3,6 @@
 	findService,
 	parseConfiguration,
 	replaceInForce,
-	type DocumentFault,
 	type FoundService,
 } from './document.js';
 export {
--- a/src/configuration/rules.ts
+++ b/src/configuration/rules.ts
@@ -4,12 +4,7 @@
  * faults beside those of the schema, in one pass.
  */
 import {z} from 'zod';
-
-/** A fault at a place in the document, before its line is known. */
-export type PlacedFault = {
-	readonly path: ReadonlyArray<string | number>;
-	readonly message: string;
-};
+import type {PlacedFault} from '../settings/document.js';
 
 type LoosePreset = {
 	readonly ranks: ReadonlyArray<{readonly name: string; readonly floorShare: number}>;
--- a/src/settings/document.ts
+++ b/src/settings/document.ts
@@ -18,16 +18,22 @@
 
 type Path = ReadonlyArray<string | number>;
 
+/** A fault at a place in the document, before its line is known. */
+export type PlacedFault = {readonly path: Path; readonly message: string};
+
 /**
  * Reads and checks a document.
  *
  * @param text the document in YAML
  * @param schema what the document must look like
+ * @param findRuleFaults finds breaches of rules between fields; is given the document as it
+ * stands, whether or not it meets the schema, so that all faults are named in one pass
  * @returns the document with its defaults filled in, or every fault by line
  */
 export function readDocument<Schema extends z.ZodType>(
 	text: string,
 	schema: Schema,
+	findRuleFaults: (value: unknown) => readonly PlacedFault[] = () => [],
 ): Result<z.infer<Schema>, DocumentFault[]> {
 	const lineCounter = new LineCounter();
 	const source = parseDocument(text, {lineCounter});
@@ -41,12 +47,15 @@
 		);
 	}
 
-	const parsed = schema.safeParse(readValue(source));
-	if (parsed.success) {
+	const value = readValue(source);
+	const parsed = schema.safeParse(value);
+	const ruleFaults = findRuleFaults(value);
+	if (parsed.success && ruleFaults.length === 0) {
 		return ok(parsed.data);
 	}
 
-	const faults = parsed.error.issues.flatMap(issue => describeIssue(issue));
+	const issues = parsed.success ? [] : parsed.error.issues;
+	const faults = [...issues.flatMap(issue => describeIssue(issue)), ...ruleFaults];
 	return err(
 		faults
 			.map(({path, message}) => ({
@@ -87,8 +96,6 @@
 	return text.split('\n')[0] ?? text;
 }
 
-type PlacedFault = {readonly path: Path; readonly message: string};
-
 function describeIssue(issue: z.core.$ZodIssue): PlacedFault[] {
 	const path = issue.path.filter(part => typeof part !== 'symbol');
 	if (issue.code === 'unrecognized_keys') {
@@ -98,6 +105,11 @@
 		}));
 	}
 
+	if (issue.code === 'invalid_key') {
+		const reasons = issue.issues.map(inner => inner.message);
+		return [{path, message: `${reasons.join(' or ')}; correct the name`}];
+	}
+
 	if (issue.code === 'invalid_union') {
 		const reasons = issue.errors.flat().map(inner => inner.message);
 		return [{path, message: `${reasons.join(' or ')}; ${remedy(path)}`}];
