--- a/test/support/http.ts
+++ b/test/support/http.ts
@@ -22,6 +22,8 @@
 	readonly body: Uint8Array;
 	/** The outcome header; `cut` when the connection ended without a whole answer. */
 	readonly outcome: string;
+	/** Whether the node took no connection, so that another can be asked at once. */
+	readonly unconnected: boolean;
 };
 
 /**
@@ -33,8 +35,10 @@
 export async function sendCall(options: CallOptions): Promise<CallAnswer> {
 	return new Promise(resolve => {
 		const chunks: Uint8Array[] = [];
-		const cut = (): void => {
-			resolve({status: 0, headers: {}, body: Buffer.concat(chunks), outcome: 'cut'});
+		const cut = (error: Error & {code?: string}): void => {
+			const unconnected = error.code === 'ECONNREFUSED';
+			const body = Buffer.concat(chunks);
+			resolve({status: 0, headers: {}, body, outcome: 'cut', unconnected});
 		};
 
 		const request = sendRequest({
@@ -55,6 +59,7 @@
 					headers: response.headers,
 					body: Buffer.concat(chunks),
 					outcome: String(response.headers['foxtailtide-outcome'] ?? 'none'),
+					unconnected: false,
 				});
 			});
 		});
--- a/test/support/mesh.ts
+++ b/test/support/mesh.ts
@@ -121,6 +121,8 @@
 	readonly requestId: string;
 	readonly key: string;
 	readonly path: string;
+	/** Wall clock, in milliseconds. */
+	readonly startedAt: number;
 	readonly state: 'running' | 'completed' | 'cancelled' | 'failed';
 };
 
