Quarantine requests that crash the servers that run them

Cause: a request that crashes its server was retried on the next one, and its caller sent it again elsewhere. Seen first: five of five servers lost to one such request, 248 of 300 ordinary calls unserved. Ruled out: counting crashes per request, which convicts popular ones.

Change: what was in flight at a crash is a suspect and runs alone; a second crash proves it, a good run clears it, gossip tells the others, and its caller is answered when they know. The parts of the gate that speak with the server moved into a module of their own.

--- a/src/call/attempt-request.ts
+++ b/src/call/attempt-request.ts
@@ -27,6 +27,8 @@
 	readonly deadlineAt: number;
 	readonly idempotent: boolean;
 	readonly retries: number;
+	/** Whether the request was in flight at a crash, so that it must run alone. */
+	readonly suspect: boolean;
 	/** Called when the attempt goes to the server, before its body is read. */
 	readonly onDispatch?: () => void;
 };
--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -23,6 +23,8 @@
 	keyExpiry: 'foxtailtide-key-expiry',
 	/** How many retries the call has already cost along its chain of calls. */
 	retries: 'foxtailtide-retries',
+	/** Marks an attempt that must run alone, between nodes only. */
+	suspect: 'foxtailtide-suspect',
 } as const;
 
 const ownHeaderPrefix = 'foxtailtide-';
--- a/src/call/next-step.ts
+++ b/src/call/next-step.ts
@@ -106,12 +106,20 @@
 	const mayHaveRun =
 		result.kind === attemptResultKinds.lost || result.outcome !== outcomes.notRun;
 	if (mayHaveRun) {
-		return head.idempotent;
+		return head.idempotent && !isProvenCrash(result);
 	}
 
 	return localRefusals.has(result.refusal.kind);
 }
 
+/** A request that crashed a server while it ran alone would crash the next one. */
+function isProvenCrash(result: AttemptResult): boolean {
+	return (
+		result.kind === attemptResultKinds.refused &&
+		result.refusal.kind === refusalKinds.crashProven
+	);
+}
+
 function mayTryAgain(head: CallHead, progress: CallProgress, now: number): boolean {
 	const inTime = now < head.deadlineAt;
 	const inBounds = progress.attempts < maximumAttempts;
--- a/src/call/refusal.ts
+++ b/src/call/refusal.ts
@@ -22,6 +22,8 @@
 	deadlineExceeded: 'deadline-exceeded',
 	quarantined: 'quarantined',
 	serverFailed: 'server-failed',
+	serverCrashed: 'server-crashed',
+	crashProven: 'crash-proven',
 	cancelled: 'cancelled',
 	notReady: 'not-ready',
 } as const;
@@ -56,6 +58,8 @@
 	[refusalKinds.deadlineExceeded]: 504,
 	[refusalKinds.quarantined]: 422,
 	[refusalKinds.serverFailed]: 502,
+	[refusalKinds.serverCrashed]: 502,
+	[refusalKinds.crashProven]: 422,
 	[refusalKinds.cancelled]: 499,
 	[refusalKinds.notReady]: 503,
 };
--- a/src/node/announcements.ts
+++ b/src/node/announcements.ts
@@ -57,6 +57,8 @@
 	readonly server: Server;
 	/** Takes the server away when its lease has lapsed; to be called now and then. */
 	readonly expire: () => void;
+	/** Takes a server away that is known to be gone; its next announcement brings it back. */
+	readonly drop: (server: LocalServer) => void;
 	readonly current: () => Announced | undefined;
 };
 
@@ -122,6 +124,11 @@
 				set(undefined);
 			}
 		},
+		drop(server) {
+			if (current?.server.port === server.port && current.server.name === server.name) {
+				set(undefined);
+			}
+		},
 		current: () => current,
 	};
 }
--- a/src/node/call-runner.ts
+++ b/src/node/call-runner.ts
@@ -23,6 +23,8 @@
 	type RunningAttempt,
 } from '../call/index.js';
 import type {Member} from '../membership/index.js';
+import {verdicts} from '../quarantine/index.js';
+import type {CrashWatch} from './quarantine-news.js';
 
 /** What the runner needs of the node around it. */
 export type CallRunnerOptions = {
@@ -42,6 +44,8 @@
 		id: AttemptId,
 		timeoutMilliseconds: number,
 	) => Promise<boolean>;
+	/** What is known of requests that crash servers. */
+	readonly crashWatch: Pick<CrashWatch, 'judge' | 'noteCrash' | 'noteGoodRun'>;
 	/** Whether the retry budget of a service grants one more attempt. */
 	readonly grantRetry: (head: CallHead, result: AttemptResult) => boolean;
 };
@@ -66,6 +70,8 @@
 	doubts: Doubt[];
 	/** Whether a gate has said that an attempt may have run. */
 	ranAtGate: boolean;
+	/** Whether the request was in flight at a crash and has not run well since. */
+	suspect: boolean;
 	/** Whether a gate refused for overload, after which a second round would only add to it. */
 	overloaded: boolean;
 	running: RunningAttempt | undefined;
@@ -82,6 +88,7 @@
 const deadlineGraceMilliseconds = 20;
 /** Even after the deadline a caller is better told late than told nothing certain. */
 const proofGraceMilliseconds = 500;
+const quarantineNoticeMilliseconds = 1000;
 const secondRoundDelayMilliseconds = 20;
 
 /**
@@ -108,7 +115,7 @@
 		void result.then(() => {
 			clearTimeout(timer);
 		});
-		tryNext(call);
+		start(call);
 		return {
 			result,
 			cancel() {
@@ -125,6 +132,17 @@
 		}
 	}
 
+	function start(call: Call): void {
+		const verdict = options.crashWatch.judge(call.head, call.body);
+		if (verdict === verdicts.proven) {
+			finish(call, refuse(createQuarantined(), outcomes.notRun));
+			return;
+		}
+
+		call.suspect = verdict === verdicts.suspect;
+		tryNext(call);
+	}
+
 	function tryNext(call: Call): void {
 		const member = options.choose(call.head, call.excluded);
 		if (member) {
@@ -165,9 +183,28 @@
 		}
 
 		noteResult(call, {member, id}, result);
+		watchForCrash(call, result);
 		follow(call, result);
 	}
 
+	function watchForCrash(call: Call, result: AttemptResult): void {
+		const {crashWatch} = options;
+		if (result.kind === attemptResultKinds.answered && call.suspect) {
+			crashWatch.noteGoodRun(call.head, call.body);
+			return;
+		}
+
+		if (result.kind !== attemptResultKinds.refused) {
+			return;
+		}
+
+		const {kind} = result.refusal;
+		if (kind === refusalKinds.serverCrashed || kind === refusalKinds.crashProven) {
+			call.suspect = true;
+			crashWatch.noteCrash(call.head, call.body, kind === refusalKinds.crashProven);
+		}
+	}
+
 	function follow(call: Call, result: AttemptResult): void {
 		const progress = describeProgress(call, result);
 		const step = decideNextStep(call.head, result, progress, options.now());
@@ -189,6 +226,14 @@
 	}
 
 	function endRefused(call: Call, refusal: Refusal): void {
+		if (refusal.kind === refusalKinds.crashProven) {
+			// Its caller sends it again once it is answered; by then every ingress must know.
+			setTimeout(() => {
+				finish(call, refuse(refusal, outcomes.unknown));
+			}, quarantineNoticeMilliseconds);
+			return;
+		}
+
 		if (call.ranAtGate || call.doubts.length === 0) {
 			const outcome = call.ranAtGate ? outcomes.unknown : outcomes.notRun;
 			finish(call, refuse(refusal, outcome));
@@ -241,6 +286,7 @@
 		doubts: [],
 		ranAtGate: false,
 		overloaded: false,
+		suspect: false,
 		running: undefined,
 		finished: false,
 	};
@@ -260,6 +306,7 @@
 		deadlineAt: head.deadlineAt,
 		idempotent: head.idempotent,
 		retries: head.retries + call.attempts - 1,
+		suspect: call.suspect,
 	};
 }
 
@@ -287,6 +334,13 @@
 	);
 }
 
+function createQuarantined(): Refusal {
+	return createRefusal(
+		refusalKinds.quarantined,
+		'this request has crashed servers and is refused everywhere: correct it before sending it again',
+	);
+}
+
 function createWithdrawn(): Refusal {
 	return createRefusal(
 		refusalKinds.cancelled,
--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -24,7 +24,6 @@
 	admitAttempt,
 	attemptResultKinds,
 	cancelAttempt,
-	copyEndToEndHeaders,
 	createAttemptTable,
 	createRefusal,
 	dispatchAttempt,
@@ -45,9 +44,18 @@
 } from '../call/index.js';
 import {encodeLoadReport} from '../routing/index.js';
 import {describeRefusal} from './gate-refusal.js';
+import {
+	describeCrash,
+	describeNoServer,
+	describeServerFailure,
+	listServerHeaders,
+	readServerAnswer,
+} from './server-answer.js';
+import {isListening} from './server-probe.js';
 import {
 	exchangeKinds,
 	startExchange,
+	type ExchangeFailed,
 	type ExchangeResult,
 	type RunningExchange,
 } from './exchange.js';
@@ -94,6 +102,10 @@
 	readonly request: AttemptRequest;
 	readonly settle: (result: AttemptResult) => void;
 	exchange: RunningExchange | undefined;
+	/** The server it was handed to. */
+	target: LocalServer | undefined;
+	/** Whether the gate itself broke the exchange off. */
+	cancelled: boolean;
 	/** Milliseconds of the monotonic clock; meaningless before the dispatch. */
 	dispatchedAt: number;
 };
@@ -103,6 +115,8 @@
 	readonly policy: GatePolicy;
 	/** Present time, milliseconds of the monotonic clock. */
 	readonly now: () => number;
+	/** The server broke off and takes no connection any more. */
+	readonly onServerGone: (server: LocalServer) => void;
 };
 
 const serverConnectionLimit = 200;
@@ -124,6 +138,8 @@
 	});
 	const admission = createAdmission(options.policy, 0);
 	const waiting = new Map<string, Entry>();
+	/** Attempts that must run alone: while there are any, the server gets one at a time. */
+	const loners = new Set<string>();
 	const attempts = createAttemptTable();
 	const idleWaiters: Array<() => void> = [];
 	let server: LocalServer | undefined;
@@ -135,6 +151,7 @@
 	function refuse(entry: Entry, refusal: Refusal): void {
 		refused += 1;
 		finishAttempt(attempts, entry.request.id);
+		dismissLoner(entry);
 		entry.settle({
 			kind: attemptResultKinds.refused,
 			refusal,
@@ -156,6 +173,7 @@
 		dispatchAttempt(attempts, entry.request.id);
 		dispatched += 1;
 		entry.dispatchedAt = now();
+		entry.target = target;
 		entry.request.onDispatch?.();
 		entry.exchange = startExchange({
 			agent,
@@ -175,7 +193,7 @@
 	function settleExchange(entry: Entry, result: ExchangeResult): void {
 		if (result.kind !== exchangeKinds.answered) {
 			release(entry, {partial: true});
-			entry.settle(describeServerFailure(result, formatLoad()));
+			void settleFailure(entry, result);
 			return;
 		}
 
@@ -190,6 +208,39 @@
 		entry.settle(readServerAnswer(result, shed, formatLoad()));
 	}
 
+	/** A server that broke off and takes no connection any more has crashed. */
+	async function settleFailure(entry: Entry, result: ExchangeFailed): Promise<void> {
+		const {target} = entry;
+		const isSuspicious = result.kind === exchangeKinds.lost && !entry.cancelled;
+		if (isSuspicious && target && !(await isListening(target.host, target.port))) {
+			options.onServerGone(target);
+			entry.settle(describeCrash(entry.request.suspect, formatLoad()));
+			return;
+		}
+
+		entry.settle(describeServerFailure(result, formatLoad()));
+	}
+
+	/** Narrows the server to one request at a time until the suspect is through. */
+	function callLoner(entry: Entry): void {
+		if (entry.request.suspect) {
+			loners.add(entry.id);
+			applySlots();
+		}
+	}
+
+	function dismissLoner(entry: Entry): void {
+		if (loners.delete(entry.id) && loners.size === 0) {
+			applySlots();
+		}
+	}
+
+	function applySlots(): void {
+		const slots = server?.slots ?? 0;
+		const usable = loners.size > 0 ? Math.min(slots, 1) : slots;
+		followTurn(announceSlots(admission, usable, now()));
+	}
+
 	function releaseWhenClosed(entry: Entry, body: Readable): void {
 		body.once('close', () => {
 			// How long a stream takes is up to its reader.
@@ -202,6 +253,7 @@
 		const present = now();
 		const serviceMilliseconds = present - entry.dispatchedAt;
 		followTurn(releaseSlot(admission, entry.id, {...end, serviceMilliseconds}, present));
+		dismissLoner(entry);
 		wakeIdleWaiters();
 	}
 
@@ -290,6 +342,7 @@
 
 	function ask(entry: Entry, target: LocalServer): void {
 		const {rank, caller, body, deadlineAt} = entry.request;
+		callLoner(entry);
 		const decision = offer(
 			admission,
 			{
@@ -344,6 +397,7 @@
 
 	function cancel(entry: Entry): void {
 		if (entry.exchange) {
+			entry.cancelled = true;
 			entry.exchange.cancel();
 			return;
 		}
@@ -368,7 +422,7 @@
 				refuseWaiting();
 			}
 
-			followTurn(announceSlots(admission, announced?.slots ?? 0, now()));
+			applySlots();
 		},
 		setPolicy(policy) {
 			changePolicy(admission, policy);
@@ -386,6 +440,8 @@
 				request,
 				settle: settle!,
 				exchange: undefined,
+				target: undefined,
+				cancelled: false,
 				dispatchedAt: 0,
 			};
 			admit(entry);
@@ -419,75 +475,3 @@
 		},
 	};
 }
-
-function describeNoServer(service: string): Refusal {
-	return createRefusal(
-		refusalKinds.noServer,
-		`no server of ${service} is announced at this node: try again shortly`,
-	);
-}
-
-function listServerHeaders(request: AttemptRequest, now: number): string[] {
-	const remaining = Math.max(0, Math.round(request.deadlineAt - now));
-	return [
-		...request.headers,
-		headerNames.deadline,
-		String(remaining),
-		headerNames.rank,
-		request.rank,
-		headerNames.caller,
-		request.caller,
-		headerNames.retries,
-		String(request.retries),
-	];
-}
-
-function describeServerFailure(
-	result: Exclude<ExchangeResult, {kind: typeof exchangeKinds.answered}>,
-	load: string,
-): AttemptResult {
-	if (result.kind === exchangeKinds.lost) {
-		return {kind: attemptResultKinds.lost, message: result.message};
-	}
-
-	return {
-		kind: attemptResultKinds.refused,
-		refusal: createRefusal(
-			refusalKinds.serverFailed,
-			`the server takes no connection (${result.message}): try again shortly`,
-		),
-		outcome: outcomes.notRun,
-		load,
-	};
-}
-
-/** A server that sheds a request says so itself by the outcome header of its answer. */
-function readServerAnswer(
-	result: Extract<ExchangeResult, {kind: typeof exchangeKinds.answered}>,
-	shed: boolean,
-	load: string,
-): AttemptResult {
-	if (!shed) {
-		return {
-			kind: attemptResultKinds.answered,
-			status: result.status,
-			headers: copyEndToEndHeaders(result.rawHeaders),
-			body: result.body,
-			load,
-		};
-	}
-
-	if (!isWhole(result.body)) {
-		result.body.destroy();
-	}
-
-	return {
-		kind: attemptResultKinds.refused,
-		refusal: createRefusal(
-			refusalKinds.overloaded,
-			'the server shed the request: try again shortly',
-		),
-		outcome: outcomes.notRun,
-		load,
-	};
-}
--- a/src/node/peer-client.ts
+++ b/src/node/peer-client.ts
@@ -102,6 +102,8 @@
 		request.idempotent ? '1' : '0',
 		headerNames.retries,
 		String(request.retries),
+		headerNames.suspect,
+		request.suspect ? '1' : '0',
 	];
 }
 
--- a/src/node/peer-listener.ts
+++ b/src/node/peer-listener.ts
@@ -121,6 +121,7 @@
 		deadlineAt: now + Number(readText(headers[headerNames.deadline])),
 		idempotent: headers[headerNames.idempotent] === '1',
 		retries: Number(readText(headers[headerNames.retries])),
+		suspect: headers[headerNames.suspect] === '1',
 		onDispatch,
 	};
 }
--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -36,6 +36,7 @@
 import {listenForControl} from './control.js';
 import {listen, type ListenError} from './listener.js';
 import {joinMesh, openTable} from './mesh.js';
+import {createCrashWatch, type CrashWatch} from './quarantine-news.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPeerListener} from './peer-listener.js';
 import {startingPolicies} from './policies.js';
@@ -89,11 +90,19 @@
 		const table = yield* openTable(settings);
 		const membership = yield* joinMesh(settings, incarnation, table);
 		const following = yield* followConfiguration({settings, membership, table, log});
-		const gate = createGate({now, policy: startingPolicies});
+		const gate = createGate({
+			now,
+			policy: startingPolicies,
+			onServerGone(server) {
+				announcements.drop(server);
+			},
+		});
 		const meter = createMeasuringMeter(startingPolicies.measuring);
 		const peers = createPeerClient(now);
 		const canceller = createAttemptCanceller();
+		const crashWatch = createCrashWatch(membership, now);
 		const runCall = createNodeRunner({
+			crashWatch,
 			following,
 			membership,
 			gate,
@@ -142,7 +151,12 @@
 				membership,
 				following,
 				log,
-				dumps: {gate: gate.state, ingress: ingress.state, keys: keys.state},
+				dumps: {
+					gate: gate.state,
+					ingress: ingress.state,
+					keys: keys.state,
+					quarantine: crashWatch.state,
+				},
 				requestStop,
 				issueKeys: keys.issueMany,
 			}),
@@ -187,6 +201,7 @@
 }
 
 type RunnerParts = {
+	readonly crashWatch: CrashWatch;
 	readonly following: NodeConfiguration;
 	readonly membership: Membership;
 	readonly gate: Gate;
@@ -195,7 +210,7 @@
 };
 
 function createNodeRunner(parts: RunnerParts): RunCall {
-	const {following, membership, gate, peers, canceller} = parts;
+	const {crashWatch, following, membership, gate, peers, canceller} = parts;
 	const self = membership.self();
 	const router = createRouter({
 		place: {
@@ -219,6 +234,7 @@
 			return router.follow(member, request.service, running);
 		},
 		confirmNotRun: canceller.confirmNotRun,
+		crashWatch,
 		grantRetry: router.grantRetry,
 	});
 }
--- /dev/null
+++ b/src/node/quarantine-news.ts
@@ -0,0 +1,99 @@
+/**
+ * The node's quarantine: what its own calls saw, and what other nodes announce by gossip. The
+ * digest of a request is worked out only while something is known against any request.
+ */
+import {isWhole, type Body, type CallHead} from '../call/index.js';
+import type {Membership} from '../membership/index.js';
+import {
+	clearSuspect,
+	createQuarantine,
+	digestRequest,
+	findVerdict,
+	noteVerdict,
+	verdicts,
+	type Verdict,
+} from '../quarantine/index.js';
+
+/** What the runner of calls asks and tells. */
+export type CrashWatch = {
+	/** What is known against a request. */
+	readonly judge: (head: CallHead, body: Body) => Verdict | undefined;
+	/** A server crashed with this request in flight; `alone` if nothing else was. */
+	readonly noteCrash: (head: CallHead, body: Body, alone: boolean) => void;
+	/** A suspect has run well. */
+	readonly noteGoodRun: (head: CallHead, body: Body) => void;
+	readonly state: () => {readonly suspects: number; readonly proven: number};
+};
+
+const announcementPrefix = 'quarantine/';
+const announcementMilliseconds = 60_000;
+const noPayload = new Uint8Array(0);
+
+/**
+ * Creates the node's quarantine and joins it to the gossip.
+ *
+ * @param membership carries the announcements
+ * @param now present time, milliseconds of the monotonic clock
+ * @returns what the runner of calls asks and tells
+ */
+export function createCrashWatch(
+	membership: Pick<Membership, 'announce' | 'onAnnouncement'>,
+	now: () => number,
+): CrashWatch {
+	const quarantine = createQuarantine();
+	membership.onAnnouncement(id => {
+		const announced = parseAnnouncement(id);
+		if (announced) {
+			noteVerdict(quarantine, announced.digest, announced.verdict, now());
+		}
+	});
+	return {
+		judge(head, body) {
+			if (quarantine.entries.size === 0) {
+				return undefined;
+			}
+
+			return findVerdict(quarantine, digestCall(head, body), now());
+		},
+		noteCrash(head, body, alone) {
+			const digest = digestCall(head, body);
+			const verdict = alone ? verdicts.proven : verdicts.suspect;
+			if (noteVerdict(quarantine, digest, verdict, now())) {
+				const id = `${announcementPrefix}${verdict}/${digest}`;
+				membership.announce(id, noPayload, announcementMilliseconds);
+			}
+		},
+		noteGoodRun(head, body) {
+			clearSuspect(quarantine, digestCall(head, body));
+		},
+		state() {
+			const known = [...quarantine.entries.values()];
+			const proven = known.filter(({verdict}) => verdict === verdicts.proven).length;
+			return {suspects: known.length - proven, proven};
+		},
+	};
+}
+
+function digestCall(head: CallHead, body: Body): string {
+	const {caller, service, method, path} = head;
+	return digestRequest({
+		caller,
+		service,
+		method,
+		path,
+		body: isWhole(body) ? body : undefined,
+	});
+}
+
+function parseAnnouncement(id: string): {verdict: Verdict; digest: string} | undefined {
+	if (!id.startsWith(announcementPrefix)) {
+		return undefined;
+	}
+
+	const [verdict, digest] = id.slice(announcementPrefix.length).split('/');
+	if ((verdict !== verdicts.suspect && verdict !== verdicts.proven) || !digest) {
+		return undefined;
+	}
+
+	return {verdict, digest};
+}
