--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -62,17 +62,15 @@
 		tuple(constantFrom('one', 'two', 'three'), constantFrom<Verdict>(suspect, proven)),
 		{maxLength: 8},
 	);
-	const merge = (
-		told: ReadonlyArray<readonly [string, Verdict]>,
-	): Array<[string, Verdict]> => {
+	const merge = (told: ReadonlyArray<readonly [string, Verdict]>): string[] => {
 		const quarantine = createQuarantine(limits);
 		for (const [digest, verdict] of told) {
 			noteVerdict(quarantine, digest, verdict, 0);
 		}
 
 		return [...quarantine.entries]
-			.map(([digest, {verdict}]): [string, Verdict] => [digest, verdict])
-			.toSorted();
+			.map(([digest, {verdict}]) => `${digest} ${verdict}`)
+			.toSorted((one, other) => one.localeCompare(other));
 	};
 
 	console.log(`seed ${seed}`);
