--- a/bench/hops.ts
+++ b/bench/hops.ts
@@ -12,7 +12,7 @@
 import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
 import {sendCall} from '../test/support/http.js';
 import {startMesh} from '../test/support/mesh.js';
-import {startScript} from '../test/support/processes.js';
+import {startProcess} from '../test/support/processes.js';
 import {readProcessUsage, type ProcessUsage} from './process-usage.js';
 
 type Path = {
@@ -59,10 +59,10 @@
 		{service: 'booking', slots: 200},
 	]);
 	const {serverPort} = gate!;
-	const relay = await startScript<{port: number}>(cleaner, 'bench/plain-relay.ts', [
+	const relay = await startProcess<{port: number}>(cleaner, 'plain-relay', [
 		String(serverPort),
 	]);
-	const second = await startScript<{port: number}>(cleaner, 'bench/plain-relay.ts', [
+	const second = await startProcess<{port: number}>(cleaner, 'plain-relay', [
 		String(relay.ready.port),
 	]);
 	const gateId = gate!.process.child.pid!;
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,6 +7,7 @@
 const entries = {
 	demo: 'demo/main.ts',
 	foxtailtide: 'src/main.ts',
+	'plain-relay': 'bench/plain-relay.ts',
 	'stand-in-server': 'stand-ins/server/main.ts',
 	'stand-in-table': 'stand-ins/table/main.ts',
 };
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -42,32 +42,9 @@
 	parameters: readonly string[],
 ): Promise<StartedProcess<Ready>> {
 	const file = path.join(root, 'dist', `${program}.cjs`);
-	return startNodeProcess(cleaner, program, [file, ...parameters]);
-}
-
-/**
- * Starts a TypeScript file of the repository and waits for its first line of JSON.
- *
- * @param cleaner the test, which ends the process when it is over
- * @param script path below the root of the repository
- * @param parameters command line
- * @returns the process, ready
- */
-export async function startScript<Ready>(
-	cleaner: Cleaner,
-	script: string,
-	parameters: readonly string[],
-): Promise<StartedProcess<Ready>> {
-	const file = path.join(root, script);
-	return startNodeProcess(cleaner, script, ['--import', 'tsx', file, ...parameters]);
-}
-
-async function startNodeProcess<Ready>(
-	cleaner: Cleaner,
-	program: string,
-	parameters: readonly string[],
-): Promise<StartedProcess<Ready>> {
-	const child = spawn(process.execPath, parameters, {stdio: ['ignore', 'pipe', 'pipe']});
+	const child = spawn(process.execPath, [file, ...parameters], {
+		stdio: ['ignore', 'pipe', 'pipe'],
+	});
 	const ended = once(child, 'exit').then(
 		([code]) => (code as number | undefined) ?? undefined,
 	);
