Wait until the call is in flight before malformed bytes follow it

The test wrote the call and the malformed bytes at once and took for granted that the call reached the server first; the node may as well drop it before that, which is allowed, since the caller is told nothing of it.

Also: the state of a call under way and its account moved out of the runner.

--- a/src/node/call-runner.ts
+++ b/src/node/call-runner.ts
@@ -4,7 +4,6 @@
  */
 import {
 	attemptResultKinds,
-	createRefusal,
 	decideEnd,
 	decideNextStep,
 	isWhole,
@@ -15,15 +14,27 @@
 	type AttemptId,
 	type AttemptRequest,
 	type AttemptResult,
-	type Body,
 	type CallHead,
 	type CallProgress,
-	type Outcome,
 	type Refusal,
 	type RunningAttempt,
 } from '../call/index.js';
 import type {Member} from '../membership/index.js';
 import {verdicts} from '../quarantine/index.js';
+import {
+	createCall,
+	createAttempt,
+	isReplayable,
+	noteResult,
+	createNoServer,
+	createQuarantined,
+	createWithdrawn,
+	finish,
+	refuse,
+	discard,
+	type Call,
+	type CallRequest,
+} from './call-under-way.js';
 import type {CrashWatch} from './quarantine-news.js';
 
 /** What the runner needs of the node around it. */
@@ -50,40 +61,9 @@
 	readonly grantRetry: (head: CallHead, result: AttemptResult) => boolean;
 };
 
-/** A request whose head is checked. */
-export type CallRequest = {
-	readonly head: CallHead;
-	/** End-to-end headers. */
-	readonly headers: readonly string[];
-	readonly body: Body;
-};
-
 /** Runs a call; its result is an answer or a refusal, or lost after it was cancelled. */
 export type RunCall = (request: CallRequest) => RunningAttempt;
 
-/** A call under way. */
-type Call = CallRequest & {
-	readonly settle: (result: AttemptResult) => void;
-	readonly excluded: Set<string>;
-	attempts: number;
-	/** Attempts that contact was lost with, until their gates say otherwise. */
-	doubts: Doubt[];
-	/** Whether a gate has said that an attempt may have run. */
-	ranAtGate: boolean;
-	/** Whether the request was in flight at a crash and has not run well since. */
-	suspect: boolean;
-	/** Whether a gate refused for overload, after which a second round would only add to it. */
-	overloaded: boolean;
-	running: RunningAttempt | undefined;
-	finished: boolean;
-};
-
-/** An attempt that may have run, and the gate that can tell. */
-type Doubt = {
-	readonly member: Member;
-	readonly id: AttemptId;
-};
-
 /** A gate refuses in time by itself; the ingress waits this much longer before it gives up. */
 const deadlineGraceMilliseconds = 20;
 /** Even after the deadline a caller is better told late than told nothing certain. */
@@ -276,90 +256,3 @@
 
 	return runCall;
 }
-
-function createCall(request: CallRequest, settle: (result: AttemptResult) => void): Call {
-	return {
-		...request,
-		settle,
-		excluded: new Set(),
-		attempts: 0,
-		doubts: [],
-		ranAtGate: false,
-		overloaded: false,
-		suspect: false,
-		running: undefined,
-		finished: false,
-	};
-}
-
-function createAttempt(call: Call, id: AttemptId): AttemptRequest {
-	const {head} = call;
-	return {
-		id,
-		service: head.service,
-		method: head.method,
-		path: head.path,
-		headers: call.headers,
-		body: call.body,
-		rank: head.rank,
-		caller: head.caller,
-		deadlineAt: head.deadlineAt,
-		idempotent: head.idempotent,
-		retries: head.retries + call.attempts - 1,
-		suspect: call.suspect,
-	};
-}
-
-function isReplayable(body: Body): boolean {
-	return isWhole(body) || !body.readableDidRead;
-}
-
-/** Keeps the account of attempts that may have run. */
-function noteResult(call: Call, doubt: Doubt, result: AttemptResult): void {
-	if (result.kind === attemptResultKinds.lost) {
-		call.doubts.push(doubt);
-		return;
-	}
-
-	if (result.kind === attemptResultKinds.refused) {
-		call.ranAtGate ||= result.outcome !== outcomes.notRun;
-		call.overloaded ||= result.refusal.kind === refusalKinds.overloaded;
-	}
-}
-
-function createNoServer(call: Call): Refusal {
-	return createRefusal(
-		refusalKinds.noServer,
-		`no server of ${call.head.service} can take the request: try again shortly`,
-	);
-}
-
-function createQuarantined(): Refusal {
-	return createRefusal(
-		refusalKinds.quarantined,
-		'this request has crashed servers and is refused everywhere: correct it before sending it again',
-	);
-}
-
-function createWithdrawn(): Refusal {
-	return createRefusal(
-		refusalKinds.cancelled,
-		'the request was withdrawn before it reached a server: send it again',
-	);
-}
-
-function finish(call: Call, result: AttemptResult): void {
-	call.finished = true;
-	call.settle(result);
-}
-
-function refuse(refusal: Refusal, outcome: Outcome): AttemptResult {
-	return {kind: attemptResultKinds.refused, refusal, outcome, load: undefined};
-}
-
-/** A late answer nobody waits for: its stream is closed so that its connection is freed. */
-function discard(result: AttemptResult): void {
-	if (result.kind === attemptResultKinds.answered && !isWhole(result.body)) {
-		result.body.destroy();
-	}
-}
--- /dev/null
+++ b/src/node/call-under-way.ts
@@ -0,0 +1,157 @@
+/**
+ * A call under way: its state from the first attempt to the one result, and the account of the
+ * attempts that may have run.
+ */
+import {
+	attemptResultKinds,
+	createRefusal,
+	isWhole,
+	outcomes,
+	refusalKinds,
+	type AttemptId,
+	type AttemptRequest,
+	type AttemptResult,
+	type Body,
+	type CallHead,
+	type Outcome,
+	type Refusal,
+	type RunningAttempt,
+} from '../call/index.js';
+import type {Member} from '../membership/index.js';
+
+/** A request whose head is checked. */
+export type CallRequest = {
+	readonly head: CallHead;
+	/** End-to-end headers. */
+	readonly headers: readonly string[];
+	readonly body: Body;
+};
+
+/** A call under way. */
+export type Call = CallRequest & {
+	readonly settle: (result: AttemptResult) => void;
+	readonly excluded: Set<string>;
+	attempts: number;
+	/** Attempts that contact was lost with, until their gates say otherwise. */
+	doubts: Doubt[];
+	/** Whether a gate has said that an attempt may have run. */
+	ranAtGate: boolean;
+	/** Whether the request was in flight at a crash and has not run well since. */
+	suspect: boolean;
+	/** Whether a gate refused for overload, after which a second round would only add to it. */
+	overloaded: boolean;
+	running: RunningAttempt | undefined;
+	finished: boolean;
+};
+
+/** An attempt that may have run, and the gate that can tell. */
+export type Doubt = {
+	readonly member: Member;
+	readonly id: AttemptId;
+};
+
+/**
+ * Creates the state of a call that has not been tried yet.
+ *
+ * @param request the request
+ * @param settle is called once, with the result for the caller
+ */
+export function createCall(
+	request: CallRequest,
+	settle: (result: AttemptResult) => void,
+): Call {
+	return {
+		...request,
+		settle,
+		excluded: new Set(),
+		attempts: 0,
+		doubts: [],
+		ranAtGate: false,
+		overloaded: false,
+		suspect: false,
+		running: undefined,
+		finished: false,
+	};
+}
+
+/**
+ * Describes the next attempt of a call.
+ *
+ * @param call the call
+ * @param id names the attempt
+ * @returns what its gate is handed
+ */
+export function createAttempt(call: Call, id: AttemptId): AttemptRequest {
+	const {head} = call;
+	return {
+		id,
+		service: head.service,
+		method: head.method,
+		path: head.path,
+		headers: call.headers,
+		body: call.body,
+		rank: head.rank,
+		caller: head.caller,
+		deadlineAt: head.deadlineAt,
+		idempotent: head.idempotent,
+		retries: head.retries + call.attempts - 1,
+		suspect: call.suspect,
+	};
+}
+
+/** Tells whether a body can be sent again: it is whole, or nothing of it was read. */
+export function isReplayable(body: Body): boolean {
+	return isWhole(body) || !body.readableDidRead;
+}
+
+/** Keeps the account of attempts that may have run. */
+export function noteResult(call: Call, doubt: Doubt, result: AttemptResult): void {
+	if (result.kind === attemptResultKinds.lost) {
+		call.doubts.push(doubt);
+		return;
+	}
+
+	if (result.kind === attemptResultKinds.refused) {
+		call.ranAtGate ||= result.outcome !== outcomes.notRun;
+		call.overloaded ||= result.refusal.kind === refusalKinds.overloaded;
+	}
+}
+
+export function createNoServer(call: Call): Refusal {
+	return createRefusal(
+		refusalKinds.noServer,
+		`no server of ${call.head.service} can take the request: try again shortly`,
+	);
+}
+
+export function createQuarantined(): Refusal {
+	return createRefusal(
+		refusalKinds.quarantined,
+		'this request has crashed servers and is refused everywhere: correct it before sending it again',
+	);
+}
+
+export function createWithdrawn(): Refusal {
+	return createRefusal(
+		refusalKinds.cancelled,
+		'the request was withdrawn before it reached a server: send it again',
+	);
+}
+
+/** Ends a call with its one result. */
+export function finish(call: Call, result: AttemptResult): void {
+	call.finished = true;
+	call.settle(result);
+}
+
+/** A refusal as the result of a call. */
+export function refuse(refusal: Refusal, outcome: Outcome): AttemptResult {
+	return {kind: attemptResultKinds.refused, refusal, outcome, load: undefined};
+}
+
+/** Drops a late answer that nobody waits for: its stream is closed so that its connection is freed. */
+export function discard(result: AttemptResult): void {
+	if (result.kind === attemptResultKinds.answered && !isWhole(result.body)) {
+		result.body.destroy();
+	}
+}
--- a/src/node/ingress.ts
+++ b/src/node/ingress.ts
@@ -24,7 +24,8 @@
 	type Outcome,
 } from '../call/index.js';
 import {writeAnswer, writeRefusal} from './answer.js';
-import type {CallRequest, RunCall} from './call-runner.js';
+import type {RunCall} from './call-runner.js';
+import type {CallRequest} from './call-under-way.js';
 import {refuseMalformed} from './malformed-request.js';
 import {createOpenCalls} from './open-calls.js';
 import {hasSmallBody, readSmallBody} from './request-body.js';
--- a/src/node/keyed-call.ts
+++ b/src/node/keyed-call.ts
@@ -31,7 +31,7 @@
 	type CallHead,
 	type Refusal,
 } from '../call/index.js';
-import type {CallRequest} from './call-runner.js';
+import type {CallRequest} from './call-under-way.js';
 import type {BindResult, KeyBinder} from './key-binding.js';
 import {createRanAnswer, type KeyedCall, type KeyHome} from './key-home.js';
 
--- a/test/process/bad-input.test.ts
+++ b/test/process/bad-input.test.ts
@@ -167,7 +167,13 @@
 };
 
 /** Sends bytes as they are and reads the head of the first answer. */
-async function sendRaw(port: number, text: string, ends = false): Promise<Answer> {
+/** Sends bytes as they are, and after `followUp` resolves those that it gives. */
+async function sendRaw(
+	port: number,
+	text: string,
+	ends = false,
+	followUp?: () => Promise<string>,
+): Promise<Answer> {
 	const socket = connect(port, '127.0.0.1');
 	socket.on('error', () => {
 		socket.destroy();
@@ -179,6 +185,10 @@
 	});
 	await once(socket, 'connect');
 	socket.write(text, 'latin1');
+	if (followUp) {
+		socket.write(await followUp(), 'latin1');
+	}
+
 	if (ends) {
 		socket.end();
 	}
@@ -221,11 +231,19 @@
 	const [node] = await startMesh(context, [{service: 'booking'}]);
 	const journalUrl = `http://127.0.0.1:${node!.serverPort}/stand-in/journal`;
 	await fetch(journalUrl, {method: 'DELETE'});
-	const call = `GET / HTTP/1.1\r\n${host}${service}x-stand-in-service-time-ms: 300\r\n\r\n`;
-	const answer = await sendRaw(node!.dataPort, `${call}nonsense\r\n\r\n`);
+	const call = `GET / HTTP/1.1\r\n${host}${service}x-stand-in-service-time-ms: 1500\r\n\r\n`;
+	let started = 0;
+	const answer = await sendRaw(node!.dataPort, call, false, async () => {
+		for (let tries = 0; tries < 200 && started === 0; tries += 1) {
+			await sleep(5);
+			const journal = await fetch(journalUrl);
+			started = journalSchema.parse(await journal.json()).length;
+		}
+
+		return 'nonsense\r\n\r\n';
+	});
+	expect(started).toEqual(1);
 	expect(answer.outcome).not.toEqual('not-run');
-	const journal = await fetch(journalUrl);
-	expect(journalSchema.parse(await journal.json()).length).toEqual(1);
 });
 
 test('random bytes neither reach a server nor end the node', async context => {
