--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -100,7 +100,7 @@
 		const meter = createMeasuringMeter(startingPolicies.measuring);
 		const peers = createPeerClient(now);
 		const canceller = createAttemptCanceller();
-		const crashWatch = createCrashWatch(membership, now);
+		const crashWatch = createCrashWatch(membership, log, now);
 		const runCall = createNodeRunner({
 			crashWatch,
 			following,
--- a/src/node/quarantine-news.ts
+++ b/src/node/quarantine-news.ts
@@ -3,6 +3,7 @@
  * digest of a request is worked out only while something is known against any request.
  */
 import {isWhole, type Body, type CallHead} from '../call/index.js';
+import type {Logger} from '../log/index.js';
 import type {Membership} from '../membership/index.js';
 import {
 	clearSuspect,
@@ -33,11 +34,13 @@
  * Creates the node's quarantine and joins it to the gossip.
  *
  * @param membership carries the announcements
+ * @param log where a proven request is named
  * @param now present time, milliseconds of the monotonic clock
  * @returns what the runner of calls asks and tells
  */
 export function createCrashWatch(
 	membership: Pick<Membership, 'announce' | 'onAnnouncement'>,
+	log: Logger,
 	now: () => number,
 ): CrashWatch {
 	const quarantine = createQuarantine();
@@ -61,6 +64,7 @@
 			if (noteVerdict(quarantine, digest, verdict, now())) {
 				const id = `${announcementPrefix}${verdict}/${digest}`;
 				membership.announce(id, noPayload, announcementMilliseconds);
+				logVerdict(log, head, verdict);
 			}
 		},
 		noteGoodRun(head, body) {
@@ -74,6 +78,13 @@
 	};
 }
 
+/** The query is left out: it may hold what does not belong in a log. */
+function logVerdict(log: Logger, head: CallHead, verdict: Verdict): void {
+	const {service, caller, method} = head;
+	const [path] = head.path.split('?');
+	log.warn('request was in flight at a crash', {verdict, service, caller, method, path});
+}
+
 function digestCall(head: CallHead, body: Body): string {
 	const {caller, service, method, path} = head;
 	return digestRequest({
