--- a/src/node/program.ts
+++ b/src/node/program.ts
@@ -1,10 +1,8 @@
 /**
- * A node from start to stop: creates the tasks, binds their listeners, and on a stop signal
- * lets go in an order that cuts nothing: new work is refused, work in flight is finished, and
- * only then do the listeners close.
+ * A node from start to stop: creates the tasks, binds their listeners, and stops in order when
+ * it is told to.
  */
 import {performance} from 'node:perf_hooks';
-import process from 'node:process';
 import {Deferred, Duration, Effect, Schedule, type Scope} from 'effect';
 import {formatIngress, headerNames} from '../call/index.js';
 import type {Logger} from '../log/index.js';
@@ -42,6 +40,7 @@
 import {startingPolicies} from './policies.js';
 import {createPolicySwitch} from './policy-switch.js';
 import {createRouter} from './router.js';
+import {onStopSignal, stopNode} from './stop.js';
 
 /** The ports that a node is bound to. */
 export type NodePorts = {
@@ -62,9 +61,6 @@
 	readonly stop: Effect.Effect<void>;
 };
 
-/** Callers and other nodes learn of the leave before the listeners close. */
-const leaveNoticeMilliseconds = 2000;
-
 /** The colon, the space and the line end of a header. */
 const headerOverheadBytes = 4;
 /** Upper bound of what encoding and decoding a load header takes. */
@@ -296,45 +292,3 @@
 		Effect.asVoid,
 	);
 }
-
-function onStopSignal(
-	requested: Deferred.Deferred<void>,
-): Effect.Effect<void, never, Scope.Scope> {
-	const request = (): void => {
-		Deferred.unsafeDone(requested, Effect.void);
-	};
-
-	const add = Effect.sync(() => {
-		process.once('SIGTERM', request);
-		process.once('SIGINT', request);
-	});
-	const remove = Effect.sync(() => {
-		process.removeListener('SIGTERM', request);
-		process.removeListener('SIGINT', request);
-	});
-	return Effect.acquireRelease(add, () => remove);
-}
-
-type StopParts = {
-	readonly ingress: Ingress;
-	readonly gate: Gate;
-	readonly membership: Membership;
-	readonly keys: NodeKeys;
-	readonly log: Logger;
-};
-
-function stopNode(parts: StopParts): Effect.Effect<void> {
-	const {ingress, gate, keys, membership, log} = parts;
-	return Effect.gen(function* () {
-		log.info('node leaving', {inFlight: gate.state().inFlight});
-		gate.setLeaving(true);
-		ingress.setLeaving();
-		yield* Effect.promise(async () => membership.leave());
-		yield* Effect.sleep(Duration.millis(leaveNoticeMilliseconds));
-		ingress.server.close();
-		yield* Effect.promise(keys.close);
-		yield* Effect.promise(async () => ingress.drained());
-		yield* Effect.promise(async () => gate.drained());
-		log.info('node stopped');
-	});
-}
