--- a/src/configuration/acceptance.ts
+++ b/src/configuration/acceptance.ts
@@ -10,7 +10,7 @@
 	TableError,
 	TableRow,
 	WriteCondition,
-} from '../platform/index.js';
+} from '../table/index.js';
 import {
 	changeErrorKinds,
 	createChangeConflict,
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -1,7 +1,7 @@
 /** What the rest of a node sees of configuration. */
 import type {Result} from 'neverthrow';
 import type {Member} from '../membership/index.js';
-import type {TableClient} from '../platform/index.js';
+import type {TableClient} from '../table/index.js';
 import type {Acceptance} from './acceptance.js';
 import type {Change, ChangeError} from './change.js';
 import type {FoundService} from './document.js';
--- a/src/configuration/effects.ts
+++ b/src/configuration/effects.ts
@@ -1,5 +1,5 @@
 /** Carries out what a follower asks for, and tells the results as events. */
-import type {TableClient, TableRow} from '../platform/index.js';
+import type {TableClient, TableRow} from '../table/index.js';
 import type {ConfigurationOptions} from './configuration.js';
 import type {
 	FollowerEffect,
--- a/src/node/exchange.ts
+++ b/src/http/exchange.ts
@@ -17,7 +17,8 @@
 /** Bodies up to this size are held in memory, so that they can be sent again. */
 export const wholeBodyLimitBytes = 65_536;
 
-const connectTimeoutMilliseconds = 1000;
+const defaultConnectTimeoutMilliseconds = 1000;
+const processingStatus = 102;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 export const exchangeKinds = {
@@ -54,6 +55,12 @@
 	readonly body: Body;
 	/** Whether a streamed body waits until the other side asks for it. */
 	readonly awaitContinue: boolean;
+	/** Time for a new connection to be made; a second when absent. */
+	readonly connectTimeoutMilliseconds?: number;
+	/** Holds answers of unstated length as well, up to this many bytes; larger ones stream. */
+	readonly holdBytes?: number;
+	/** Is called when the other side says that it works on the request. */
+	readonly onProcessing?: () => void;
 };
 
 /** An exchange under way. */
@@ -84,11 +91,16 @@
 		headers: frameHeaders(options),
 	});
 	request.on('socket', socket => {
-		watchConnection(request, socket, progress);
+		watchConnection(request, socket, progress, options.connectTimeoutMilliseconds);
+	});
+	request.on('information', ({statusCode}) => {
+		if (statusCode === processingStatus) {
+			options.onProcessing?.();
+		}
 	});
 	const result = new Promise<ExchangeResult>(resolve => {
 		request.on('response', response => {
-			receiveAnswer(request, response, progress, resolve);
+			receiveAnswer({request, response, progress, holdBytes: options.holdBytes}, resolve);
 		});
 		request.on('error', error => {
 			resolve(describeFailure(error, progress));
@@ -133,8 +145,15 @@
 	request: ClientRequest,
 	socket: Socket,
 	progress: Progress,
+	connectTimeoutMilliseconds = defaultConnectTimeoutMilliseconds,
 ): void {
 	if (!socket.connecting) {
+		// Bytes that wait on an idle connection belong to no request; nothing is sent after them.
+		if (socket.readableLength > 0) {
+			request.destroy(new Error('the kept connection holds bytes of no request'));
+			return;
+		}
+
 		progress.connected = true;
 		return;
 	}
@@ -177,12 +196,19 @@
 	});
 }
 
+type Receiving = {
+	readonly request: ClientRequest;
+	readonly response: IncomingMessage;
+	readonly progress: Progress;
+	readonly holdBytes: number | undefined;
+};
+
 function receiveAnswer(
-	request: ClientRequest,
-	response: IncomingMessage,
-	progress: Progress,
+	receiving: Receiving,
 	resolve: (result: ExchangeResult) => void,
 ): void {
+	const {request, response, progress} = receiving;
+	closeAfterEarlyAnswer(request, response);
 	const answer = (body: Body): void => {
 		resolve({
 			kind: exchangeKinds.answered,
@@ -192,7 +218,7 @@
 		});
 	};
 
-	if (!isSmall(request, response)) {
+	if (!isHeld(receiving)) {
 		answer(response);
 		return;
 	}
@@ -207,13 +233,28 @@
 	});
 }
 
-function isSmall(request: ClientRequest, response: IncomingMessage): boolean {
+/** The rest of a body that the other side may still read must never be another request. */
+function closeAfterEarlyAnswer(request: ClientRequest, response: IncomingMessage): void {
+	if (request.writableFinished) {
+		return;
+	}
+
+	response.once('end', () => {
+		if (!request.writableFinished) {
+			request.destroy();
+		}
+	});
+}
+
+function isHeld({request, response, holdBytes}: Receiving): boolean {
 	if (request.method === 'HEAD' || bodilessStatuses.has(response.statusCode!)) {
 		return true;
 	}
 
 	const length = response.headers['content-length'];
-	return length !== undefined && Number(length) <= wholeBodyLimitBytes;
+	return length === undefined
+		? holdBytes !== undefined
+		: Number(length) <= Math.max(wholeBodyLimitBytes, holdBytes ?? 0);
 }
 
 /**
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -1,4 +1,5 @@
 /** Public surface of the logs. */
+export {createEventLog, type EventLog} from './event-log.js';
 export {
 	createLogger,
 	logFormats,
--- a/src/membership/seed-table.ts
+++ b/src/membership/seed-table.ts
@@ -1,6 +1,6 @@
 /** Seed rows in the platform's table: `members/FAILURE-DOMAIN/SLOT` holds a control address. */
 import {type Result} from 'neverthrow';
-import {type TableClient, type TableError, type TableRow} from '../platform/index.js';
+import {type TableClient, type TableError, type TableRow} from '../table/index.js';
 import {type SeedRow} from './seeds.js';
 
 const keyPrefix = 'members/';
--- a/src/node/announcements.ts
+++ b/src/node/announcements.ts
@@ -11,7 +11,7 @@
 } from 'node:http';
 import {z} from 'zod';
 import type {LocalServer} from './gate.js';
-import {hasSmallBody, readSmallBody} from './request-body.js';
+import {hasSmallBody, readSmallBody} from '../http/index.js';
 
 export const serverHealths = {
 	serving: 'serving',
--- a/src/node/configuration.ts
+++ b/src/node/configuration.ts
@@ -5,7 +5,7 @@
 import {createConfiguration, waits, type Configuration} from '../configuration/index.js';
 import type {Logger} from '../log/index.js';
 import type {Membership} from '../membership/index.js';
-import type {TableClient} from '../platform/index.js';
+import type {TableClient} from '../table/index.js';
 import type {Settings} from '../settings/index.js';
 import {createConfigurationPeers} from './configuration-peers.js';
 import {startingPolicies, type NodePolicies} from './policies.js';
--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -58,7 +58,7 @@
 	type ExchangeFailed,
 	type ExchangeResult,
 	type RunningExchange,
-} from './exchange.js';
+} from '../http/index.js';
 
 /** The server beside the node, as it announced itself. */
 export type LocalServer = {
--- a/src/node/ingress.ts
+++ b/src/node/ingress.ts
@@ -23,12 +23,16 @@
 	type CallPolicy,
 	type Outcome,
 } from '../call/index.js';
-import {writeAnswer, writeRefusal} from './answer.js';
+import {
+	createOpenCalls,
+	hasSmallBody,
+	readSmallBody,
+	refuseMalformed,
+	writeAnswer,
+	writeRefusal,
+} from '../http/index.js';
 import type {RunCall} from './call-runner.js';
 import type {CallRequest} from './call-under-way.js';
-import {refuseMalformed} from './malformed-request.js';
-import {createOpenCalls} from './open-calls.js';
-import {hasSmallBody, readSmallBody} from './request-body.js';
 
 /** What the ingress needs of the node around it. */
 export type IngressOptions = {
--- a/src/node/key-binding.ts
+++ b/src/node/key-binding.ts
@@ -22,7 +22,7 @@
 	type Home,
 	type VersionedBinding,
 } from '../binding/index.js';
-import type {TableClient, TableError, TableRow} from '../platform/index.js';
+import type {TableClient, TableError, TableRow} from '../table/index.js';
 
 /** How a binding ended, or how long the budget wants it to wait, in milliseconds. */
 export type BindResult =
--- a/src/node/key-issuer.ts
+++ b/src/node/key-issuer.ts
@@ -7,7 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {issueKey, type KeySecrets} from '../binding/index.js';
 import {createRefusal, headerNames, outcomes, refusalKinds} from '../call/index.js';
-import {writeRefusal} from './answer.js';
+import {writeRefusal} from '../http/index.js';
 import type {KeyHome} from './key-home.js';
 
 /** An issued key and how to use it. */
--- a/src/node/key-listener.ts
+++ b/src/node/key-listener.ts
@@ -10,9 +10,8 @@
 	type AttemptResult,
 	type CallHead,
 } from '../call/index.js';
-import {refuseStranger, writeResult} from './answer.js';
+import {readSmallBody, refuseStranger, writeResult} from '../http/index.js';
 import type {KeyedCall} from './key-home.js';
-import {readSmallBody} from './request-body.js';
 
 type KeyListenerOptions = {
 	readonly runKeyed: (call: KeyedCall) => Promise<AttemptResult>;
--- a/src/node/keys.ts
+++ b/src/node/keys.ts
@@ -15,7 +15,7 @@
 } from '../binding/index.js';
 import type {Logger} from '../log/index.js';
 import type {Membership} from '../membership/index.js';
-import type {TableClient} from '../platform/index.js';
+import type {TableClient} from '../table/index.js';
 import type {Settings} from '../settings/index.js';
 import type {RunCall} from './call-runner.js';
 import {createKeyBinder, type KeyBinder} from './key-binding.js';
--- a/src/node/mesh.ts
+++ b/src/node/mesh.ts
@@ -7,7 +7,7 @@
 	type Membership,
 	type MembershipError,
 } from '../membership/index.js';
-import {createTableClient, type TableClient} from '../platform/index.js';
+import {createTableClient, type TableClient} from '../table/index.js';
 import type {Settings} from '../settings/index.js';
 
 /**
--- a/src/node/peer-client.ts
+++ b/src/node/peer-client.ts
@@ -2,33 +2,27 @@
  * Sends attempts to the gates of other nodes over kept HTTP connections, and reads back what
  * became of them.
  */
-import {Buffer} from 'node:buffer';
 import {Agent} from 'node:http';
 import {
 	attemptResultKinds,
-	copyEndToEndHeaders,
 	createRefusal,
-	findHeader,
 	formatAttemptId,
 	headerNames,
 	isWhole,
 	outcomes,
-	parseRefusal,
 	refusalKinds,
 	type AttemptRequest,
 	type AttemptResult,
-	type Refusal,
 	type RunningAttempt,
 } from '../call/index.js';
 import {formatHome} from '../binding/index.js';
 import type {Member} from '../membership/index.js';
 import {
 	exchangeKinds,
+	readPeerResult,
 	startExchange,
-	type ExchangeAnswered,
-	type ExchangeResult,
 	type RunningExchange,
-} from './exchange.js';
+} from '../http/index.js';
 import type {KeyedCall} from './key-home.js';
 import type {SendToHome} from './keyed-call.js';
 
@@ -158,58 +152,3 @@
 		load: undefined,
 	};
 }
-
-function readPeerResult(result: ExchangeResult): AttemptResult {
-	if (result.kind === exchangeKinds.lost) {
-		return {kind: attemptResultKinds.lost, message: result.message};
-	}
-
-	if (result.kind !== exchangeKinds.answered) {
-		return {
-			kind: attemptResultKinds.refused,
-			refusal: createRefusal(
-				refusalKinds.noServer,
-				`the node takes no connection (${result.message}): try again shortly`,
-			),
-			outcome: outcomes.notRun,
-			load: undefined,
-		};
-	}
-
-	return readPeerAnswer(result);
-}
-
-function readPeerAnswer(result: ExchangeAnswered): AttemptResult {
-	const load = findHeader(result.rawHeaders, headerNames.load);
-	const outcome = findHeader(result.rawHeaders, headerNames.outcome);
-	if (outcome === outcomes.ran) {
-		return {
-			kind: attemptResultKinds.answered,
-			status: result.status,
-			headers: copyEndToEndHeaders(result.rawHeaders),
-			body: result.body,
-			load,
-		};
-	}
-
-	if (
-		(outcome !== outcomes.notRun && outcome !== outcomes.unknown) ||
-		!isWhole(result.body)
-	) {
-		return {
-			kind: attemptResultKinds.lost,
-			message: 'the node answered without an outcome',
-		};
-	}
-
-	return {
-		kind: attemptResultKinds.refused,
-		refusal: readRefusal(result.body),
-		outcome,
-		load,
-	};
-}
-
-function readRefusal(body: Uint8Array): Refusal {
-	return parseRefusal(Buffer.from(body).toString('utf8'));
-}
--- a/src/node/peer-listener.ts
+++ b/src/node/peer-listener.ts
@@ -17,10 +17,9 @@
 	type Body,
 	type RunningAttempt,
 } from '../call/index.js';
-import {refuseStranger, writeResult} from './answer.js';
+import {hasSmallBody, readSmallBody, refuseStranger, writeResult} from '../http/index.js';
 import type {KeyedCall} from './key-home.js';
 import {receiveKeyed} from './key-listener.js';
-import {hasSmallBody, readSmallBody} from './request-body.js';
 
 type PeerListenerOptions = {
 	readonly run: (request: AttemptRequest) => RunningAttempt;
--- a/src/node/server-answer.ts
+++ b/src/node/server-answer.ts
@@ -14,7 +14,11 @@
 	type AttemptResult,
 	type Refusal,
 } from '../call/index.js';
-import {exchangeKinds, type ExchangeAnswered, type ExchangeFailed} from './exchange.js';
+import {
+	exchangeKinds,
+	type ExchangeAnswered,
+	type ExchangeFailed,
+} from '../http/index.js';
 
 /**
  * @param service name of the service
--- /dev/null
+++ b/src/relay/call-runner.ts
@@ -0,0 +1,275 @@
+/**
+ * Runs a call of the relay to its end: places it, sends an attempt, and follows what becomes of
+ * it until there is one result for the caller. It owns the calls that it runs.
+ */
+import {
+	attemptResultKinds,
+	createRefusal,
+	isWhole,
+	nextSequence,
+	outcomes,
+	refusalKinds,
+	type AttemptResult,
+	type Refusal,
+	type RunningAttempt,
+} from '../call/index.js';
+import type {Logger} from '../log/index.js';
+import type {RelayCall} from './call.js';
+import type {RelayGate} from './gate.js';
+import {decideRelayStep, hasArrived, relaySteps, type RelayStep} from './next-step.js';
+import type {Peers} from './peers.js';
+import type {Placer, RatedGate} from './placer.js';
+
+export type RelayRunnerOptions = {
+	/** Names this life of the node in its attempts. */
+	readonly ingressName: string;
+	readonly nodeId: string;
+	readonly gate: Pick<RelayGate, 'run'>;
+	readonly peers: Pick<Peers, 'send'>;
+	readonly placer: Placer;
+	readonly log: Logger;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	/** Wall clock in milliseconds; it only spaces the numbers of attempts. */
+	readonly wallClock: () => number;
+};
+
+/** Runs a call; its result is an answer or a refusal, or lost after it was cancelled. */
+export type RunRelayCall = (call: RelayCall) => RunningAttempt;
+
+type CallUnderWay = {
+	readonly call: RelayCall;
+	readonly settle: (result: AttemptResult) => void;
+	/** Gates that will not be asked again. */
+	readonly excluded: Set<string>;
+	arrivals: number;
+	offers: number;
+	/** Whether a server may have run it. */
+	mayHaveRun: boolean;
+	/** A server's own failure, passed on when nothing better comes. */
+	failure: AttemptResult | undefined;
+	refusal: Refusal | undefined;
+	running: RunningAttempt | undefined;
+	finished: boolean;
+};
+
+/** Pause after which another gate may have a server again, in milliseconds. */
+const noServerPauseMilliseconds = 200;
+
+/**
+ * Creates the runner.
+ *
+ * @param options the gates, how they are chosen, log and clocks
+ * @returns a function that runs calls
+ */
+export function createRelayRunner(options: RelayRunnerOptions): RunRelayCall {
+	const {log, now} = options;
+	let sequence = 0;
+
+	function finish(state: CallUnderWay, result: AttemptResult): void {
+		if (!state.finished) {
+			state.finished = true;
+			state.settle(result);
+		}
+	}
+
+	async function follow(state: CallUnderWay): Promise<void> {
+		let step: RelayStep = relaySteps.offer;
+		while (!state.finished && step !== relaySteps.end) {
+			const ranked = await options.placer.rank(state.call, state.excluded);
+			const [best] = ranked;
+			if (state.finished || best === undefined) {
+				break;
+			}
+
+			logPlacement(state, ranked);
+			const result = await attempt(state, best);
+			if (state.finished) {
+				return;
+			}
+
+			step = decide(state, result);
+			if (step === relaySteps.answer) {
+				finish(state, result);
+			}
+		}
+
+		end(state);
+	}
+
+	async function attempt(state: CallUnderWay, gate: RatedGate): Promise<AttemptResult> {
+		sequence = nextSequence(sequence, options.wallClock());
+		const attempted = {
+			id: {ingress: options.ingressName, sequence},
+			call: state.call,
+			repeat: state.arrivals > 0,
+		};
+		const {member} = gate;
+		state.offers += 1;
+		state.excluded.add(member.nodeId);
+		const running =
+			member.nodeId === options.nodeId
+				? options.gate.run(attempted)
+				: options.peers.send(member, attempted, gate.roundTripMilliseconds);
+		state.running = running;
+		const result = await running.result;
+		state.running = undefined;
+		return result;
+	}
+
+	function decide(state: CallUnderWay, result: AttemptResult): RelayStep {
+		note(state, result);
+		const {call} = state;
+		const step = decideRelayStep(result, {
+			idempotent: call.idempotent,
+			replayable: isWhole(call.body),
+			arrivals: state.arrivals,
+			maximumAttempts: call.maximumAttempts,
+			offers: state.offers,
+			remainingMilliseconds: call.deadlineAt - now(),
+		});
+		if (step !== relaySteps.answer) {
+			log.info('attempt ended', {
+				request: call.requestId,
+				result: describeResult(result),
+				arrivals: state.arrivals,
+				remainingMilliseconds: Math.round(call.deadlineAt - now()),
+				step,
+			});
+		}
+
+		return step;
+	}
+
+	function logPlacement(state: CallUnderWay, ranked: readonly RatedGate[]): void {
+		log.info('call placed', {
+			request: state.call.requestId,
+			service: state.call.service,
+			targetMilliseconds: Math.round(state.call.targetAt - now()),
+			gates: ranked.map(({nodeId, value, finishMilliseconds, report, reportAge}) => [
+				nodeId,
+				Number(value.toFixed(2)),
+				Math.round(finishMilliseconds),
+				Math.round(report?.waitMilliseconds ?? -1),
+				Math.round(reportAge),
+			]),
+		});
+	}
+
+	function end(state: CallUnderWay): void {
+		if (state.failure) {
+			finish(state, state.failure);
+			return;
+		}
+
+		const outcome = state.mayHaveRun ? outcomes.unknown : outcomes.notRun;
+		const refusal = state.mayHaveRun
+			? createRefusal(
+					refusalKinds.serverFailed,
+					'contact with the server was lost: idempotent requests may be sent again',
+				)
+			: (state.refusal ?? createNoServer(state.call));
+		finish(state, {kind: attemptResultKinds.refused, refusal, outcome, load: undefined});
+	}
+
+	return call => {
+		let settle!: (result: AttemptResult) => void;
+		const result = new Promise<AttemptResult>(resolve => {
+			settle = resolve;
+		});
+		const state = createState(call, settle);
+		const timer = setTimeout(() => {
+			expire(state);
+		}, call.deadlineAt - now());
+		void result.then(() => {
+			clearTimeout(timer);
+		});
+		void follow(state);
+		return {
+			result,
+			cancel() {
+				state.running?.cancel();
+				finish(state, {kind: attemptResultKinds.lost, message: 'cancelled'});
+			},
+		};
+	};
+
+	/** A streamed body is bounded by its progress, not by the deadline. */
+	function expire(state: CallUnderWay): void {
+		const mayHaveRun = state.mayHaveRun || state.running !== undefined;
+		state.running?.cancel();
+		if (state.failure) {
+			finish(state, state.failure);
+			return;
+		}
+
+		finish(state, {
+			kind: attemptResultKinds.refused,
+			refusal: createRefusal(
+				refusalKinds.deadlineExceeded,
+				'no answer came before the deadline: allow more time, or try again later',
+			),
+			outcome: mayHaveRun ? outcomes.unknown : outcomes.notRun,
+			load: undefined,
+		});
+	}
+}
+
+function createState(
+	call: RelayCall,
+	settle: (result: AttemptResult) => void,
+): CallUnderWay {
+	return {
+		call,
+		settle,
+		excluded: new Set(),
+		arrivals: 0,
+		offers: 0,
+		mayHaveRun: false,
+		failure: undefined,
+		refusal: undefined,
+		running: undefined,
+		finished: false,
+	};
+}
+
+function note(state: CallUnderWay, result: AttemptResult): void {
+	state.arrivals += hasArrived(result) ? 1 : 0;
+	if (result.kind === attemptResultKinds.answered) {
+		state.mayHaveRun = true;
+		state.failure = result;
+		return;
+	}
+
+	if (result.kind === attemptResultKinds.refused) {
+		state.refusal = result.refusal;
+		state.mayHaveRun ||= result.outcome !== outcomes.notRun;
+		return;
+	}
+
+	state.mayHaveRun = true;
+}
+
+function createNoServer(call: RelayCall): Refusal {
+	return createRefusal(
+		refusalKinds.noServer,
+		`no server of ${call.service} takes the request: try again after the stated pause`,
+		noServerPauseMilliseconds,
+	);
+}
+
+function describeResult(result: AttemptResult): string {
+	switch (result.kind) {
+		case attemptResultKinds.answered: {
+			return `status ${result.status}`;
+		}
+
+		case attemptResultKinds.refused: {
+			return `${result.refusal.kind}, ${result.outcome}`;
+		}
+
+		case attemptResultKinds.lost: {
+			return `lost: ${result.message}`;
+		}
+	}
+}
--- /dev/null
+++ b/src/relay/dialect.ts
@@ -0,0 +1,49 @@
+/**
+ * What the relay needs to know of the language that callers and servers speak. The names on the
+ * wire are the adapter's; the relay sees their meaning.
+ */
+import type {HeaderList, Outcome, Refusal} from '../call/index.js';
+
+/** What a caller says of its request besides the request itself. */
+export type CallerHead = {
+	/** Its own name for this try; undefined when it gives none. */
+	readonly requestId: string | undefined;
+	/** How long it will wait, in milliseconds; undefined when it does not say. */
+	readonly patienceMilliseconds: number | undefined;
+};
+
+/** What a server's answer says besides the answer itself. */
+export type ServerAnswerFacts = {
+	/** The request that it answers; undefined when it does not say. */
+	readonly requestId: string | undefined;
+	/** Whether the server declares that it did not run the request. */
+	readonly declaredNotRun: boolean;
+	/** Whether another server than the one asked for answered. */
+	readonly isOtherServer: boolean;
+	/** Whether the answer bears the server's seal. */
+	readonly sealed: boolean;
+	/** Time that work takes on the server's VM, in proportion to the usual. */
+	readonly slowdown: number | undefined;
+};
+
+/** What a server is told besides the caller's request. */
+export type ServerHead = {
+	readonly serverId: string | undefined;
+	readonly originService: string;
+	/** Time left, in milliseconds. */
+	readonly remainingMilliseconds: number;
+};
+
+export type Dialect = {
+	readonly readCallerHead: (headers: HeaderList) => CallerHead;
+	/** The caller's headers as the server gets them. */
+	readonly listServerHeaders: (headers: HeaderList, head: ServerHead) => string[];
+	readonly readServerAnswer: (status: number, headers: HeaderList) => ServerAnswerFacts;
+	/** Status of a refusal of the relay's own. */
+	readonly statusOf: (refusal: Refusal, outcome: Outcome) => number;
+	/** Headers of a refusal of the relay's own. */
+	readonly listRefusalHeaders: (
+		requestId: string | undefined,
+		refusal: Refusal,
+	) => string[];
+};
--- /dev/null
+++ b/src/relay/gate.ts
@@ -0,0 +1,535 @@
+/**
+ * The gate of the server beside the node. Every request to that server passes here, whichever
+ * node took it, so the gate counts exactly, keeps the order of waiting, and enforces that a
+ * leaving server gets nothing new. It refuses as not run whatever it has not handed over.
+ */
+import {
+	announcementVerdicts,
+	endRecord,
+	judgeAnnouncement,
+	serverStates,
+	type AnnouncementVerdict,
+	type ServerAnnouncement,
+	type ServerRecord,
+} from '../announcement/index.js';
+import {
+	admissions,
+	admitAttempt,
+	attemptResultKinds,
+	cancelAttempt,
+	cancellations,
+	createAttemptTable,
+	createRefusal,
+	dispatchAttempt,
+	finishAttempt,
+	formatAttemptId,
+	outcomes,
+	refusalKinds,
+	type AttemptId,
+	type AttemptResult,
+	type Refusal,
+	type RunningAttempt,
+} from '../call/index.js';
+import type {Logger} from '../log/index.js';
+import {
+	createFailures,
+	findFailureShare,
+	learnEnd,
+	type Failures,
+	type GateReport,
+} from '../placing/index.js';
+import {
+	countFirst,
+	createRepeatBudget,
+	trySpendRepeat,
+	type RepeatPolicy,
+} from '../repeats/index.js';
+import {
+	changeSlots,
+	chooseRetryAfter,
+	createQueue,
+	currentSlowdown,
+	endWork,
+	estimateWait,
+	estimateWork,
+	offerOutcomes,
+	offerWork,
+	reportSlowdown,
+	takeTurns,
+	withdrawWork,
+	type Offer,
+	type QueueState,
+	type Turn,
+	type Work,
+} from '../waiting/index.js';
+import type {RelayAttempt} from './call.js';
+import type {Dialect} from './dialect.js';
+import {
+	createServerClient,
+	serverEnds,
+	type RunningServerExchange,
+	type ServerResult,
+} from './server-exchange.js';
+
+/** What a request would be, for the question what it would meet here. */
+export type LoadQuestion = {
+	readonly route: string;
+	readonly rank: number;
+	readonly nested: boolean;
+	readonly targetMilliseconds: number;
+};
+
+export type RelayGateOptions = {
+	readonly dialect: Dialect;
+	readonly log: Logger;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	/** A number from 0 to below 1. */
+	readonly random: () => number;
+	/** Address and service of the server beside the node. */
+	readonly server: {readonly host: string; readonly port: number; readonly service: string};
+	readonly maximumConnections: number;
+	readonly repeats: RepeatPolicy;
+	/** Gates of the service, this one included. */
+	readonly countGates: () => number;
+	/** The slots that the gate offers have changed; zero when it takes nothing new. */
+	readonly onSlots: (slots: number) => void;
+	/** Counts how each attempt ended at this gate. */
+	readonly onEnd: (end: string, milliseconds: number) => void;
+};
+
+export type RelayGateState = {
+	readonly server: ServerRecord | undefined;
+	readonly accepting: boolean;
+	readonly running: number;
+	readonly waiting: number;
+	readonly limit: number;
+	readonly failureShare: number;
+};
+
+export type RelayGate = {
+	readonly run: (attempt: RelayAttempt) => RunningAttempt;
+	/** Tells what a request would meet here now. */
+	readonly report: (question: LoadQuestion) => GateReport;
+	/** Cancels an attempt; true only if it never was and never will be handed over. */
+	readonly cancelAttempt: (id: AttemptId) => boolean;
+	readonly announce: (announcement: ServerAnnouncement) => AnnouncementVerdict;
+	/** The server with this id says that it ends. */
+	readonly endServer: (id: string) => boolean;
+	/** Whether a request that runs here has this deadline, so that it may be the caller. */
+	readonly runsUntil: (deadlineAt: number) => boolean;
+	/** Refuses new work from now on. */
+	readonly leave: () => void;
+	readonly state: () => RelayGateState;
+	readonly close: () => void;
+};
+
+type Entry = {
+	readonly key: string;
+	readonly attempt: RelayAttempt;
+	readonly work: Work;
+	readonly settle: (result: AttemptResult) => void;
+	exchange: RunningServerExchange | undefined;
+	cancelled: boolean;
+	startedAt: number;
+};
+
+/** How often what waits is looked at for time that has run out, in milliseconds. */
+const expiryIntervalMilliseconds = 10;
+/** Deadlines that differ by less belong to a request and its caller, in milliseconds. */
+const sameDeadlineMilliseconds = 4;
+/** How long a server that takes no connection is left alone, in milliseconds. */
+const unreachableMilliseconds = 700;
+/** The gate itself ends what its ingress has not ended by the deadline and this much more. */
+const deadlineGraceMilliseconds = 250;
+
+/**
+ * Creates the gate; it takes no work before the server has announced itself.
+ *
+ * @param options the server, its language, the budgets and the clock
+ * @returns the gate
+ */
+export function createRelayGate(options: RelayGateOptions): RelayGate {
+	const {now, log, server} = options;
+	const client = createServerClient(options);
+	const attempts = createAttemptTable();
+	const repeats = createRepeatBudget();
+	const entries = new Map<string, Entry>();
+	const place = {address: `${server.host}:${server.port}`, service: server.service};
+	let queue: QueueState = createQueue(0);
+	let failures: Failures = createFailures();
+	let record: ServerRecord | undefined;
+	let leaving = false;
+	let unreachableUntil = Number.NEGATIVE_INFINITY;
+	let expiryTimer: NodeJS.Timeout | undefined;
+
+	function isAccepting(): boolean {
+		return (
+			record?.state === serverStates.ready && !leaving && now() >= unreachableUntil
+		);
+	}
+
+	function refuse(entry: Entry, refusal: Refusal, why: Record<string, unknown>): void {
+		entries.delete(entry.key);
+		finishAttempt(attempts, entry.attempt.id);
+		log.info('gate refused', {...describe(entry), refusal: refusal.kind, ...why});
+		options.onEnd(`refused-${refusal.kind}`, now() - entry.work.arrivedAt);
+		entry.settle({
+			kind: attemptResultKinds.refused,
+			refusal,
+			outcome: outcomes.notRun,
+			load: undefined,
+		});
+	}
+
+	function admit(entry: Entry): void {
+		const admission = admitAttempt(attempts, entry.attempt.id);
+		if (admission !== admissions.admitted) {
+			// A second copy of an attempt tells nothing of the first, which decides.
+			log.warn('gate dropped an attempt', {...describe(entry), admission});
+			entry.settle({kind: attemptResultKinds.lost, message: `not admitted: ${admission}`});
+			return;
+		}
+
+		entries.set(entry.key, entry);
+		const {call, repeat} = entry.attempt;
+		if (!isAccepting() || call.service !== server.service) {
+			const kind = leaving ? refusalKinds.leaving : refusalKinds.noServer;
+			refuse(entry, createRefusal(kind, 'this gate takes no new work: use another'), {
+				server: record?.id,
+				state: record?.state,
+				heardMillisecondsAgo: record && Math.round(now() - record.heardAt),
+				leaving,
+			});
+			return;
+		}
+
+		const gates = options.countGates();
+		if (repeat && !trySpendRepeat(repeats, options.repeats, gates, now())) {
+			const message = 'the budget for repeats is spent: try again later';
+			refuse(entry, createRefusal(refusalKinds.overloaded, message), {
+				budget: 'repeats',
+				gates,
+				repeats: repeats.repeats.length,
+				firsts: repeats.firsts.length,
+			});
+			return;
+		}
+
+		if (!repeat) {
+			countFirst(repeats, options.repeats, now());
+		}
+
+		offer(entry);
+	}
+
+	function offer(entry: Entry): void {
+		const decision = offerWork(queue, entry.work, now());
+		if (decision.outcome === offerOutcomes.tooLate) {
+			refuse(entry, describeTooLate(entry, decision), describeOffer(decision));
+			return;
+		}
+
+		log.info(
+			decision.outcome === offerOutcomes.started ? 'gate started' : 'gate queued',
+			{...describe(entry), ...describeOffer(decision)},
+		);
+		if (decision.outcome === offerOutcomes.started) {
+			dispatch(entry);
+			return;
+		}
+
+		expireLater();
+	}
+
+	function describeTooLate(entry: Entry, decision: Offer): Refusal {
+		const remaining = entry.work.deadlineAt - now();
+		const pause = chooseRetryAfter(
+			decision.waitMilliseconds,
+			remaining,
+			options.random(),
+		);
+		const message = 'no answer would come in time: try again after the stated pause';
+		return createRefusal(refusalKinds.overloaded, message, pause);
+	}
+
+	function describeOffer(decision: Offer): Record<string, unknown> {
+		return {
+			waitMilliseconds: Math.round(decision.waitMilliseconds),
+			durationMilliseconds: Math.round(decision.durationMilliseconds),
+			running: queue.running.size,
+			waiting: queue.waiting.size,
+			limit: queue.limit,
+			slowdown: currentSlowdown(queue.pace, now()),
+		};
+	}
+
+	function dispatch(entry: Entry): void {
+		dispatchAttempt(attempts, entry.attempt.id);
+		entry.startedAt = now();
+		entry.exchange = client.start(
+			{id: record?.id, host: server.host, port: server.port},
+			entry.attempt.call,
+		);
+		const timer = setTimeout(
+			() => {
+				cancel(entry);
+			},
+			entry.work.deadlineAt - now() + deadlineGraceMilliseconds,
+		);
+		void entry.exchange.result.then(result => {
+			clearTimeout(timer);
+			settle(entry, result);
+		});
+	}
+
+	function settle(entry: Entry, result: ServerResult): void {
+		const present = now();
+		const duration = present - entry.startedAt;
+		entries.delete(entry.key);
+		finishAttempt(attempts, entry.attempt.id);
+		learn(entry, result, present);
+		const whole = result.end === serverEnds.answered && !entry.cancelled;
+		followTurn(endWork(queue, entry.key, {whole}, present));
+		log.info('gate finished', {
+			...describe(entry),
+			end: entry.cancelled ? 'cancelled' : result.end,
+			reason: result.reason,
+			server: record?.id,
+			milliseconds: Math.round(duration),
+		});
+		options.onEnd(entry.cancelled ? 'cancelled' : result.end, duration);
+		entry.settle(result.result);
+	}
+
+	function learn(entry: Entry, result: ServerResult, present: number): void {
+		if (result.facts?.slowdown !== undefined) {
+			reportSlowdown(queue.pace, result.facts.slowdown, present);
+		}
+
+		if (entry.cancelled) {
+			return;
+		}
+
+		learnEnd(failures, result.end !== serverEnds.answered, present);
+		if (result.end === serverEnds.unreachable) {
+			unreachableUntil = present + unreachableMilliseconds;
+			client.forgetConnections();
+			log.warn('server unreachable', {server: record?.id, reason: result.reason});
+			refuseWaiting('the server takes no connection');
+		}
+	}
+
+	function followTurn(turn: Turn): void {
+		for (const key of turn.late) {
+			const entry = entries.get(key);
+			if (entry) {
+				const message = 'no answer would come in time any more';
+				refuse(entry, createRefusal(refusalKinds.overloaded, message), {
+					waitedMilliseconds: Math.round(now() - entry.work.arrivedAt),
+				});
+			}
+		}
+
+		for (const key of turn.started) {
+			const entry = entries.get(key);
+			if (entry) {
+				dispatch(entry);
+			}
+		}
+	}
+
+	/** What waits for a server that takes no more may go to another gate. */
+	function refuseWaiting(reason: string): void {
+		for (const key of queue.waiting.keys()) {
+			withdrawWork(queue, key);
+			const entry = entries.get(key);
+			if (entry) {
+				refuse(entry, createRefusal(refusalKinds.noServer, `${reason}: use another`), {
+					reason,
+				});
+			}
+		}
+	}
+
+	/** One timer for the whole queue, and none while it is empty. */
+	function expireLater(): void {
+		expiryTimer ??= setTimeout(() => {
+			expiryTimer = undefined;
+			followTurn(takeTurns(queue, now()));
+			if (queue.waiting.size > 0) {
+				expireLater();
+			}
+		}, expiryIntervalMilliseconds);
+	}
+
+	function cancel(entry: Entry): void {
+		if (entry.exchange) {
+			entry.cancelled = true;
+			entry.exchange.cancel();
+			return;
+		}
+
+		if (withdrawWork(queue, entry.key)) {
+			const message = 'the caller gave the request up';
+			refuse(entry, createRefusal(refusalKinds.cancelled, message), {});
+		}
+	}
+
+	function announce(announcement: ServerAnnouncement): AnnouncementVerdict {
+		const verdict = judgeAnnouncement(record, announcement, place);
+		if (verdict !== announcementVerdicts.taken) {
+			log.warn('announcement ignored', {verdict, ...announcement, held: record?.id});
+			return verdict;
+		}
+
+		const isNewLife =
+			record?.id !== announcement.id || record.startedAt !== announcement.startedAt;
+		const before = record;
+		record = {...announcement, heardAt: now()};
+		if (isNewLife) {
+			startLife();
+		}
+
+		unreachableUntil = Number.NEGATIVE_INFINITY;
+		if (isNewLife || before?.state !== announcement.state) {
+			log.info('server changed', {...announcement});
+			applyRecord();
+		}
+
+		return verdict;
+	}
+
+	function startLife(): void {
+		client.forgetConnections();
+		failures = createFailures();
+		const previous = queue;
+		queue = createQueue(previous.slots);
+		for (const [key, running] of previous.running) {
+			queue.running.set(key, running);
+		}
+
+		for (const [key, work] of previous.waiting) {
+			queue.waiting.set(key, work);
+		}
+
+		queue.pace.coldUntil = now() + (record?.warmupMilliseconds ?? 0);
+	}
+
+	function applyRecord(): void {
+		const slots = isAccepting() ? record!.slots : 0;
+		followTurn(changeSlots(queue, slots, now()));
+		if (slots === 0) {
+			refuseWaiting('the server takes no new work');
+		}
+
+		options.onSlots(slots);
+	}
+
+	return {
+		run(attempt) {
+			let settleResult!: (result: AttemptResult) => void;
+			const result = new Promise<AttemptResult>(resolve => {
+				settleResult = resolve;
+			});
+			const entry: Entry = {
+				key: formatAttemptId(attempt.id),
+				attempt,
+				work: describeWork(attempt, now()),
+				settle: settleResult,
+				exchange: undefined,
+				cancelled: false,
+				startedAt: 0,
+			};
+			admit(entry);
+			return {
+				result,
+				cancel() {
+					cancel(entry);
+				},
+			};
+		},
+		report(question) {
+			return {
+				accepting: isAccepting(),
+				waitMilliseconds: estimateWait(queue, question),
+				durationMilliseconds: estimateWork(queue, question, now()),
+				failureShare: findFailureShare(failures, now()),
+			};
+		},
+		cancelAttempt(id) {
+			const entry = entries.get(formatAttemptId(id));
+			const cancellation = cancelAttempt(attempts, id);
+			if (cancellation === cancellations.withdrawn && entry) {
+				cancel(entry);
+			}
+
+			return (
+				cancellation === cancellations.neverDispatched ||
+				cancellation === cancellations.withdrawn
+			);
+		},
+		announce,
+		endServer(id) {
+			const ended = endRecord(record, id);
+			if (ended === undefined) {
+				log.warn('farewell ignored', {id, held: record?.id});
+				return false;
+			}
+
+			record = ended;
+			log.info('server changed', {id, state: ended.state});
+			applyRecord();
+			return true;
+		},
+		runsUntil(deadlineAt) {
+			for (const {work} of queue.running.values()) {
+				if (Math.abs(work.deadlineAt - deadlineAt) < sameDeadlineMilliseconds) {
+					return true;
+				}
+			}
+
+			return false;
+		},
+		leave() {
+			leaving = true;
+			applyRecord();
+		},
+		state: () => ({
+			server: record,
+			accepting: isAccepting(),
+			running: queue.running.size,
+			waiting: queue.waiting.size,
+			limit: queue.limit,
+			failureShare: findFailureShare(failures, now()),
+		}),
+		close() {
+			clearTimeout(expiryTimer);
+			client.close();
+		},
+	};
+}
+
+function describeWork({id, call}: RelayAttempt, now: number): Work {
+	return {
+		id: formatAttemptId(id),
+		rank: call.rank,
+		route: call.route,
+		nested: call.nested,
+		arrivedAt: now,
+		targetMilliseconds: call.targetMilliseconds,
+		targetAt: call.targetAt,
+		deadlineAt: call.deadlineAt,
+	};
+}
+
+function describe({attempt, work}: Entry): Record<string, unknown> {
+	return {
+		request: attempt.call.requestId,
+		attempt: formatAttemptId(attempt.id),
+		route: work.route,
+		rank: work.rank,
+		nested: work.nested,
+		repeat: attempt.repeat,
+	};
+}
--- /dev/null
+++ b/src/relay/metrics.ts
@@ -0,0 +1,106 @@
+/** Counters and latency histograms of the relay, and the listener that serves them as text. */
+import {createServer, type Server} from 'node:http';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {CallEnd} from './caller-listener.js';
+import type {RelayGateState} from './gate.js';
+
+export type RelayMetrics = {
+	readonly noteCall: (end: CallEnd) => void;
+	readonly noteGateEnd: (end: string, milliseconds: number) => void;
+	readonly noteMeasuring: (use: string, bytes: number) => void;
+	/** The caller binds it. */
+	readonly listener: Server;
+};
+
+/** What is read when the metrics are asked for. */
+export type MetricsSources = {
+	readonly gate: () => RelayGateState;
+	readonly routesVersion: () => number;
+	readonly members: () => number;
+	readonly droppedLines: () => number;
+	/** The whole state of the process, for a dump. */
+	readonly dump: () => unknown;
+};
+
+const bucketsMilliseconds = [5, 10, 25, 50, 100, 150, 200, 300, 400, 600, 800, 1200, 2500];
+const statePath = '/state';
+
+/**
+ * Creates the metrics of one process.
+ *
+ * @param sources what is read when the metrics are asked for
+ * @returns the metrics with their listener, not yet bound
+ */
+export function createRelayMetrics(sources: MetricsSources): RelayMetrics {
+	const registry = new Registry();
+	const registers = [registry];
+	const calls = new Histogram({
+		name: 'foxtailtide_call_milliseconds',
+		help: 'Time from a request to its answer, by status and outcome.',
+		labelNames: ['status', 'outcome'],
+		buckets: bucketsMilliseconds,
+		registers,
+	});
+	const gateEnds = new Histogram({
+		name: 'foxtailtide_gate_milliseconds',
+		help: 'Time of requests at the own server, by how they ended.',
+		labelNames: ['end'],
+		buckets: bucketsMilliseconds,
+		registers,
+	});
+	const measuring = new Counter({
+		name: 'foxtailtide_measuring_bytes_total',
+		help: 'Bytes spent on measuring load.',
+		labelNames: ['use'],
+		registers,
+	});
+	createGauges(sources, registers);
+	return {
+		noteCall({status, outcome, milliseconds}) {
+			calls.observe({status, outcome}, milliseconds);
+		},
+		noteGateEnd(end, milliseconds) {
+			gateEnds.observe({end}, milliseconds);
+		},
+		noteMeasuring(use, bytes) {
+			measuring.inc({use}, bytes);
+		},
+		listener: createMetricsListener(registry, sources.dump),
+	};
+}
+
+function createGauges(sources: MetricsSources, registers: Registry[]): void {
+	const gauges: ReadonlyArray<readonly [string, string, () => number]> = [
+		['foxtailtide_running', 'Requests at the own server.', () => sources.gate().running],
+		['foxtailtide_waiting', 'Requests that wait for it.', () => sources.gate().waiting],
+		['foxtailtide_limit', 'Requests that it may run at once.', () => sources.gate().limit],
+		['foxtailtide_routes_version', 'Version in force.', sources.routesVersion],
+		['foxtailtide_members', 'Nodes that are held alive.', sources.members],
+		['foxtailtide_log_lines_dropped', 'Log lines dropped.', sources.droppedLines],
+	];
+	for (const [name, help, read] of gauges) {
+		const gauge = new Gauge({
+			name,
+			help,
+			registers,
+			collect() {
+				gauge.set(read());
+			},
+		});
+	}
+}
+
+function createMetricsListener(registry: Registry, dump: () => unknown): Server {
+	return createServer((request, response) => {
+		if (request.url === statePath) {
+			response.writeHead(200, {'content-type': 'application/json'});
+			response.end(JSON.stringify(dump(), undefined, 2));
+			return;
+		}
+
+		void registry.metrics().then(text => {
+			response.writeHead(200, {'content-type': registry.contentType});
+			response.end(text);
+		});
+	});
+}
--- /dev/null
+++ b/src/relay/peer-listener.ts
@@ -0,0 +1,85 @@
+/**
+ * The listener for other nodes: attempts for this node's gate, and the routes in force for a node
+ * that is behind. It says at once that it has an attempt, so that a silent connection shows.
+ */
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import type {RunningAttempt} from '../call/index.js';
+import {refuseStranger, writeResult} from '../http/index.js';
+import type {RelayAttempt} from './call.js';
+import {readPeerAttempt} from './peer-headers.js';
+import {receiveBody} from './receive-body.js';
+
+/** Path at which a node gives the routes that it has in force. */
+export const routesPath = '/foxtailtide/routes';
+
+export type PeerListenerOptions = {
+	/** Runs an attempt at this node's gate. */
+	readonly run: (attempt: RelayAttempt) => RunningAttempt;
+	/** Text of the routes in force; undefined while there are none. */
+	readonly routes: () => string | undefined;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+};
+
+/** Headers of an attempt besides the caller's own, in bytes. */
+const headLimitBytes = 131_072;
+
+/**
+ * Creates the listener.
+ *
+ * @param options the gate, the routes and the clock
+ * @returns the listener, not yet bound
+ */
+export function createRelayPeerListener(options: PeerListenerOptions): Server {
+	return createServer(
+		{
+			// The ingress closes connections that it does not need; a close from here would race it.
+			keepAliveTimeout: 0,
+			requestTimeout: 0,
+			maxHeaderSize: headLimitBytes,
+			noDelay: true,
+		},
+		(request, response) => {
+			if (request.url === routesPath) {
+				giveRoutes(response, options.routes());
+				return;
+			}
+
+			takeAttempt(request, response, options);
+		},
+	);
+}
+
+function giveRoutes(response: ServerResponse, routes: string | undefined): void {
+	response.writeHead(routes === undefined ? 404 : 200, {
+		'content-type': 'application/json',
+	});
+	response.end(routes);
+}
+
+function takeAttempt(
+	request: IncomingMessage,
+	response: ServerResponse,
+	options: PeerListenerOptions,
+): void {
+	response.writeProcessing();
+	receiveBody(request, body => {
+		const head = {
+			method: request.method!,
+			path: request.url!,
+			rawHeaders: request.rawHeaders,
+		};
+		const attempt = readPeerAttempt(head, body, options.now());
+		if (attempt === undefined) {
+			refuseStranger(response);
+			return;
+		}
+
+		const running = options.run(attempt);
+		response.once('close', running.cancel);
+		void running.result.then(result => {
+			response.removeListener('close', running.cancel);
+			writeResult(response, result);
+		});
+	});
+}
--- /dev/null
+++ b/src/relay/peers.ts
@@ -0,0 +1,133 @@
+/**
+ * Sends attempts to the gates of other nodes over kept connections. A gate says at once that it
+ * has an attempt; when that word does not come, the connection may have gone silent, and the gate
+ * is asked by datagram to cancel what it may have.
+ */
+import {Agent} from 'node:http';
+import {
+	attemptResultKinds,
+	createRefusal,
+	outcomes,
+	refusalKinds,
+	type AttemptResult,
+	type RunningAttempt,
+} from '../call/index.js';
+import {readPeerResult, startExchange} from '../http/index.js';
+import type {Logger} from '../log/index.js';
+import type {Member} from '../membership/index.js';
+import type {RelayAttempt} from './call.js';
+import type {GateSocket} from './gate-socket.js';
+import {listPeerHeaders} from './peer-headers.js';
+import {heldAnswerBytes} from './server-exchange.js';
+
+export type PeersOptions = {
+	readonly socket: Pick<GateSocket, 'askCancel'>;
+	readonly log: Logger;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+};
+
+export type Peers = {
+	readonly send: (
+		member: Member,
+		attempt: RelayAttempt,
+		roundTripMilliseconds: number,
+	) => RunningAttempt;
+	readonly close: () => void;
+};
+
+/** Kept connections without a request are closed after this time, in milliseconds. */
+const idleConnectionMilliseconds = 8000;
+const connectTimeoutMilliseconds = 300;
+/** A gate says that it has an attempt within this time and a round trip, in milliseconds. */
+const receiptMilliseconds = 120;
+/** Time for a gate's answer to a cancellation, besides a round trip, in milliseconds. */
+const cancelMilliseconds = 40;
+
+/**
+ * Creates the client of other nodes' gates.
+ *
+ * @param options the socket for cancellations, log and clock
+ * @returns the client
+ */
+export function createPeers(options: PeersOptions): Peers {
+	const {now, log} = options;
+	const agent = new Agent({keepAlive: true, timeout: idleConnectionMilliseconds});
+
+	function send(
+		member: Member,
+		attempt: RelayAttempt,
+		roundTripMilliseconds: number,
+	): RunningAttempt {
+		const watch: {timer?: NodeJS.Timeout} = {};
+		const exchange = startExchange({
+			agent,
+			host: member.host,
+			port: member.peerPort,
+			method: attempt.call.method,
+			path: attempt.call.path,
+			headers: listPeerHeaders(attempt, now()),
+			body: attempt.call.body,
+			awaitContinue: false,
+			connectTimeoutMilliseconds: connectTimeoutMilliseconds + roundTripMilliseconds,
+			holdBytes: heldAnswerBytes,
+			onProcessing() {
+				clearTimeout(watch.timer);
+			},
+		});
+		const received = exchange.result.then(result => {
+			clearTimeout(watch.timer);
+			return readPeerResult(result);
+		});
+		const silent = new Promise<AttemptResult>(resolve => {
+			watch.timer = setTimeout(() => {
+				void withdraw(member, attempt, roundTripMilliseconds).then(result => {
+					if (result) {
+						exchange.cancel();
+						resolve(result);
+					}
+				});
+			}, receiptMilliseconds + 2 * roundTripMilliseconds);
+		});
+		return {result: Promise.race([received, silent]), cancel: exchange.cancel};
+	}
+
+	/** Asks the gate to cancel what it may have; undefined when the answer is still awaited. */
+	async function withdraw(
+		member: Member,
+		attempt: RelayAttempt,
+		roundTripMilliseconds: number,
+	): Promise<AttemptResult | undefined> {
+		const gate = {
+			host: member.host,
+			port: member.peerPort,
+			incarnation: member.incarnation,
+		};
+		const timeout = cancelMilliseconds + 2 * roundTripMilliseconds;
+		const neverDispatched = await options.socket.askCancel(gate, attempt.id, timeout);
+		log.warn('gate gave no receipt', {
+			request: attempt.call.requestId,
+			gate: member.nodeId,
+			neverDispatched,
+		});
+		if (neverDispatched) {
+			return {
+				kind: attemptResultKinds.refused,
+				refusal: createRefusal(refusalKinds.noServer, 'the gate did not get the attempt'),
+				outcome: outcomes.notRun,
+				load: undefined,
+			};
+		}
+
+		return attempt.call.idempotent
+			? {kind: attemptResultKinds.lost, message: 'the gate gave no receipt'}
+			: undefined;
+	}
+
+	return {
+		send,
+		close() {
+			agent.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/src/relay/placer.ts
@@ -0,0 +1,230 @@
+/**
+ * Finds the gates for a call: asks the near ones what the call would meet there, and far ones
+ * when that may be worth it, and lets the placing decision order them. It remembers which gates
+ * stay silent, so that a call does not wait for them.
+ */
+import {memberStatuses, type Member} from '../membership/index.js';
+import {
+	distances,
+	isFartherWorthAsking,
+	rateGates,
+	type ByteCosts,
+	type Candidate,
+	type Distance,
+	type GateReport,
+	type RatedCandidate,
+} from '../placing/index.js';
+import {isWhole} from '../call/index.js';
+import type {RelayCall} from './call.js';
+import type {LoadQuestion, RelayGate} from './gate.js';
+import type {AnsweredReport, GateSocket} from './gate-socket.js';
+
+/** Where the node stands. */
+export type NodePlace = {
+	readonly nodeId: string;
+	readonly region: string;
+	readonly failureDomain: string;
+};
+
+export type PlacerOptions = {
+	readonly place: NodePlace;
+	readonly gate: RelayGate;
+	readonly socket: Pick<GateSocket, 'askLoad'>;
+	readonly membersOf: (service: string) => readonly Member[];
+	readonly costs: ByteCosts;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	/** Usual bytes of a route's answers. */
+	readonly answerBytes: (route: string) => number;
+};
+
+/** A gate that may take the call. */
+export type RatedGate = RatedCandidate & {
+	readonly member: Member;
+	/** How old the gate's word is, in milliseconds. */
+	readonly reportAge: number;
+};
+
+export type Placer = {
+	/** Orders the gates for a call, best first; gates that are excluded are left out. */
+	readonly rank: (
+		call: RelayCall,
+		excluded: ReadonlySet<string>,
+	) => Promise<readonly RatedGate[]>;
+};
+
+type Heard = {
+	report: AnsweredReport | undefined;
+	/** Monotonic milliseconds, as is the next. */
+	heardAt: number;
+	silentUntil: number;
+	roundTripMilliseconds: number;
+};
+
+/** A gate of the same region answers within a millisecond or two when it is well. */
+const nearTimeoutMilliseconds = 15;
+/** Two regions are some ten milliseconds apart. */
+const farTimeoutMilliseconds = 40;
+/** How long the word of a far gate counts, in milliseconds. */
+const farFreshMilliseconds = 100;
+/** How long a silent gate is not waited for, in milliseconds. */
+const silenceMilliseconds = 1000;
+/** Heads of a request and its answer, in bytes. */
+const headBytes = 900;
+/** A streamed body is taken to be at least this large, in bytes. */
+const streamBytes = 1_048_576;
+/** Round trips before one was measured, in milliseconds. */
+const unseenRoundTrips: Readonly<Record<Distance, number>> = {
+	[distances.own]: 0,
+	[distances.failureDomain]: 0.5,
+	[distances.region]: 2,
+	[distances.remote]: 20,
+};
+const roundTripWeight = 0.2;
+
+/**
+ * Creates the placer.
+ *
+ * @param options the node's place, its gate, the members and the price of bytes
+ * @returns the placer, which has heard of no gate
+ */
+export function createPlacer(options: PlacerOptions): Placer {
+	const {now, place} = options;
+	const heard = new Map<string, Heard>();
+
+	function find(member: Member): Heard {
+		const known = heard.get(member.nodeId);
+		if (known) {
+			return known;
+		}
+
+		const fresh: Heard = {
+			report: undefined,
+			heardAt: Number.NEGATIVE_INFINITY,
+			silentUntil: Number.NEGATIVE_INFINITY,
+			roundTripMilliseconds: unseenRoundTrips[distanceOf(member, place)],
+		};
+		heard.set(member.nodeId, fresh);
+		return fresh;
+	}
+
+	async function ask(
+		member: Member,
+		question: LoadQuestion,
+		timeout: number,
+	): Promise<void> {
+		const state = find(member);
+		const asking = options.socket.askLoad(
+			{host: member.host, port: member.peerPort},
+			question,
+			timeout,
+		);
+		const settled = asking.then(report => {
+			take(state, report);
+		});
+		if (now() < state.silentUntil) {
+			return;
+		}
+
+		await settled;
+	}
+
+	function take(state: Heard, report: AnsweredReport | undefined): void {
+		if (report === undefined) {
+			state.report = undefined;
+			state.silentUntil = now() + silenceMilliseconds;
+			return;
+		}
+
+		state.report = report;
+		state.heardAt = now();
+		state.silentUntil = Number.NEGATIVE_INFINITY;
+		state.roundTripMilliseconds +=
+			(report.roundTripMilliseconds - state.roundTripMilliseconds) * roundTripWeight;
+	}
+
+	function describeCandidate(member: Member, question: LoadQuestion): Candidate {
+		const distance = distanceOf(member, place);
+		if (distance === distances.own) {
+			const report: GateReport = options.gate.report(question);
+			return {nodeId: member.nodeId, distance, report, roundTripMilliseconds: 0};
+		}
+
+		const {report, roundTripMilliseconds} = find(member);
+		return {nodeId: member.nodeId, distance, report, roundTripMilliseconds};
+	}
+
+	return {
+		async rank(call, excluded) {
+			const members = options
+				.membersOf(call.service)
+				.filter(({nodeId, status}) => {
+					return !excluded.has(nodeId) && status === memberStatuses.alive;
+				});
+			const question: LoadQuestion = {
+				route: call.route,
+				rank: call.rank,
+				nested: call.nested,
+				targetMilliseconds: call.targetMilliseconds,
+			};
+			const near = members.filter(member => isNear(member, place));
+			const far = members.filter(member => !isNear(member, place));
+			const rate = (list: readonly Member[]): RatedGate[] => {
+				const byId = new Map(list.map(member => [member.nodeId, member]));
+				const candidates = list.map(member => describeCandidate(member, question));
+				const placement = describePlacement(call, options, now());
+				return rateGates(candidates, placement, options.costs).map(rated => ({
+					...rated,
+					member: byId.get(rated.nodeId)!,
+					reportAge: now() - (heard.get(rated.nodeId)?.heardAt ?? now()),
+				}));
+			};
+
+			await Promise.all(
+				near
+					.filter(({nodeId}) => nodeId !== place.nodeId)
+					.map(async member => ask(member, question, nearTimeoutMilliseconds)),
+			);
+			const rated = rate(near);
+			const placement = describePlacement(call, options, now());
+			if (
+				far.length === 0 ||
+				!isFartherWorthAsking(rated[0], placement, options.costs)
+			) {
+				return rated;
+			}
+
+			await Promise.all(
+				far
+					.filter(member => now() - find(member).heardAt > farFreshMilliseconds)
+					.map(async member => ask(member, question, farTimeoutMilliseconds)),
+			);
+			return rate(members);
+		},
+	};
+}
+
+function describePlacement(call: RelayCall, options: PlacerOptions, now: number) {
+	const body = isWhole(call.body) ? call.body.length : streamBytes;
+	return {
+		targetMilliseconds: call.targetAt - now,
+		deadlineMilliseconds: call.deadlineAt - now,
+		bytes: headBytes + body + options.answerBytes(call.route),
+	};
+}
+
+function isNear(member: Member, place: NodePlace): boolean {
+	return member.region === place.region;
+}
+
+function distanceOf(member: Member, place: NodePlace): Distance {
+	if (member.nodeId === place.nodeId) {
+		return distances.own;
+	}
+
+	if (member.failureDomain === place.failureDomain) {
+		return distances.failureDomain;
+	}
+
+	return member.region === place.region ? distances.region : distances.remote;
+}
--- /dev/null
+++ b/src/relay/relay.ts
@@ -0,0 +1,394 @@
+/**
+ * A relay node from start to stop: creates the parts, binds their listeners, follows members and
+ * routes, and stops in order.
+ */
+import {createServer, type Server} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {Effect, type Scope} from 'effect';
+import {formatIngress} from '../call/index.js';
+import type {EventLog} from '../log/index.js';
+import {
+	createMeasuringMeter,
+	trySpend,
+	type MeasuringMeter,
+	type MeasuringUse,
+} from '../measuring/index.js';
+import {
+	createMembership,
+	createSeedTable,
+	memberStatuses,
+	type Membership,
+	type MembershipError,
+} from '../membership/index.js';
+import type {Adapter} from './adapter.js';
+import {createRelayRunner} from './call-runner.js';
+import {createCallerListener, type CallerListener} from './caller-listener.js';
+import {createRelayGate, type RelayGate} from './gate.js';
+import {openGateSocket, type GateSocket} from './gate-socket.js';
+import {createRelayMetrics, type RelayMetrics} from './metrics.js';
+import {createRelayPeerListener} from './peer-listener.js';
+import {createPeers} from './peers.js';
+import {createPlacer} from './placer.js';
+import {followRoutes, routesTopic} from './routes-follower.js';
+import {createRoutesHolder, type RoutesHolder} from './routes-in-force.js';
+import {splitAddress, type RelaySettings} from './settings.js';
+import {decideStopStep, stopSteps} from './stop.js';
+
+/** A relay that runs. */
+export type RunningRelay = {
+	/** Stops as planned; resolves once nothing is in flight. */
+	readonly stop: () => Promise<void>;
+	readonly dump: () => Record<string, unknown>;
+};
+
+/** Why a relay did not start. */
+export type RelayStartError = MembershipError | {readonly kind: 'listen-failed'; readonly message: string};
+
+/** A few nodes of each domain look for lost members often: restarts are frequent. */
+const reconnectIntervalMilliseconds = 1000;
+/** A restarted node serves by its own gate while it looks for the others, in milliseconds. */
+const joinTimeoutMilliseconds = 500;
+const settleMilliseconds = 100;
+/** Upper bound of what one datagram takes to encode or decode, in microseconds. */
+const datagramMicroseconds = 20;
+const stopCheckMilliseconds = 50;
+const answerWeight = 0.1;
+
+const now = (): number => performance.now();
+
+/**
+ * Starts a relay for as long as the scope lives.
+ *
+ * @param settings checked settings
+ * @param adapter the platform that it runs on
+ * @param log the event log
+ * @returns the relay, listening
+ */
+export function startRelay(
+	settings: RelaySettings,
+	adapter: Adapter,
+	log: EventLog,
+): Effect.Effect<RunningRelay, RelayStartError, Scope.Scope> {
+	return Effect.gen(function* () {
+		const incarnation = Date.now();
+		const parts = createParts(settings, adapter, log, incarnation);
+		const servers = yield* listenAll(settings, adapter, log, parts);
+		const socket = yield* Effect.promise(async () => parts.openSocket());
+		const membership = yield* joinRelays(settings, adapter, incarnation);
+		parts.attach(membership);
+		const follower = followRoutes({
+			source: adapter.routeSource,
+			holder: parts.holder,
+			membership,
+			log,
+			random: Math.random,
+		});
+		yield* Effect.addFinalizer(() =>
+			Effect.sync(() => {
+				follower.close();
+				parts.close();
+				socket.close();
+				adapter.table.close();
+				for (const server of servers) {
+					server.closeAllConnections();
+					server.close();
+				}
+			}),
+		);
+		log.info('node started', {incarnation, members: membership.all().length});
+		return {stop: async () => stopRelay(settings, parts, membership, log), dump: parts.dump};
+	});
+}
+
+type Parts = {
+	readonly gate: RelayGate;
+	readonly callers: CallerListener;
+	readonly peerListener: Server;
+	readonly holder: RoutesHolder;
+	readonly metrics: RelayMetrics;
+	readonly attach: (membership: Membership) => void;
+	readonly openSocket: () => Promise<GateSocket>;
+	readonly isReady: () => boolean;
+	readonly setLeaving: () => void;
+	readonly dump: () => Record<string, unknown>;
+	readonly close: () => void;
+};
+
+function createParts(
+	settings: RelaySettings,
+	adapter: Adapter,
+	log: EventLog,
+	incarnation: number,
+): Parts {
+	const {node, server, listeners} = settings;
+	const {dialect} = adapter;
+	const meter = createMeasuringMeter(settings.measuring);
+	const answerBytes = new Map<string, number>();
+	let membership: Membership | undefined;
+	let socket: GateSocket | undefined;
+	let leaving = false;
+	const membersOf = (service: string) => membership?.membersOf(service) ?? [];
+	const metrics = createRelayMetrics({
+		gate: () => gate.state(),
+		routesVersion: () => holder.current()?.table.version ?? 0,
+		members: () => membership?.all().length ?? 0,
+		droppedLines: log.countDropped,
+		dump: () => dump(),
+	});
+	const gate = createRelayGate({
+		dialect,
+		log,
+		now,
+		random: Math.random,
+		server: {...splitAddress(server.address), service: server.service},
+		maximumConnections: server.maximumConnections,
+		repeats: settings.repeats,
+		countGates: () => Math.max(1, membersOf(server.service).length),
+		onSlots(slots) {
+			membership?.updateSelf({service: slots > 0 ? server.service : undefined, slots});
+		},
+		onEnd: metrics.noteGateEnd,
+	});
+	const holder = createRoutesHolder({
+		decode: adapter.decodeRoutes,
+		log,
+		now,
+		onChange(version) {
+			membership?.publishVersion(routesTopic, version);
+		},
+	});
+	const askingSocket = {
+		askLoad: async (...question: Parameters<GateSocket['askLoad']>) =>
+			socket?.askLoad(...question),
+		askCancel: async (...question: Parameters<GateSocket['askCancel']>) =>
+			socket?.askCancel(...question),
+	};
+	const peers = createPeers({socket: askingSocket, log, now});
+	const placer = createPlacer({
+		place: {nodeId: node.id, region: node.region, failureDomain: node.failureDomain},
+		gate,
+		socket: askingSocket,
+		membersOf,
+		costs: settings.costs,
+		now,
+		answerBytes: route => answerBytes.get(route) ?? 0,
+	});
+	const callers = createCallerListener({
+		dialect,
+		log,
+		routes: holder.current,
+		run: createRelayRunner({
+			ingressName: formatIngress(node.id, incarnation),
+			nodeId: node.id,
+			gate,
+			peers,
+			placer,
+			log,
+			now,
+			wallClock: Date.now,
+		}),
+		service: server.service,
+		runsUntil: gate.runsUntil,
+		now,
+		onEnd(end) {
+			const known = answerBytes.get(end.route) ?? end.bytes;
+			answerBytes.set(end.route, known + (end.bytes - known) * answerWeight);
+			metrics.noteCall(end);
+		},
+	});
+	const dump = (): Record<string, unknown> => ({
+		node: {...node, incarnation, leaving},
+		gate: gate.state(),
+		routesVersion: holder.current()?.table.version,
+		routesSince: holder.current()?.since,
+		callersInFlight: callers.countInFlight(),
+		members: membership?.all(),
+		membership: membership?.dump(),
+		measuring: meter.totals,
+		droppedLines: log.countDropped(),
+	});
+	return {
+		gate,
+		callers,
+		holder,
+		metrics,
+		dump,
+		peerListener: createRelayPeerListener({
+			run: gate.run,
+			routes: () => holder.current()?.text,
+			now,
+		}),
+		attach(joined) {
+			membership = joined;
+			const {accepting, server: announced} = gate.state();
+			if (accepting) {
+				joined.updateSelf({service: server.service, slots: announced?.slots ?? 0});
+			}
+
+			joined.subscribe((member, previous) => {
+				if (member.status !== previous?.status || member.service !== previous.service) {
+					const {nodeId, status, service, slots} = member;
+					log.info('member changed', {
+						member: nodeId,
+						status,
+						service,
+						slots,
+						incarnation: member.incarnation,
+						before: previous?.status,
+					});
+				}
+			});
+		},
+		async openSocket() {
+			socket = await openGateSocket({
+				address: {host: listeners.host, port: listeners.peer},
+				now,
+				report: gate.report,
+				cancelAttempt: gate.cancelAttempt,
+				incarnation,
+				spend: (use, bytes) => spend(meter, metrics, use, bytes),
+				onError(error) {
+					log.warn('datagram not sent', {reason: error.message});
+				},
+			});
+			return socket;
+		},
+		isReady: () => !leaving && holder.current() !== undefined,
+		setLeaving() {
+			leaving = true;
+			callers.leave();
+		},
+		close() {
+			gate.close();
+			peers.close();
+		},
+	};
+}
+
+function spend(
+	meter: MeasuringMeter,
+	metrics: RelayMetrics,
+	use: MeasuringUse,
+	bytes: number,
+): boolean {
+	const cost = {bytes, processorMicroseconds: datagramMicroseconds};
+	const isGranted = trySpend(meter, use, cost, now());
+	metrics.noteMeasuring(isGranted ? use : 'refused', bytes);
+	return isGranted;
+}
+
+function joinRelays(
+	settings: RelaySettings,
+	adapter: Adapter,
+	incarnation: number,
+): Effect.Effect<Membership, MembershipError, Scope.Scope> {
+	const {node, listeners} = settings;
+	return createMembership({
+		self: {
+			nodeId: node.id,
+			incarnation,
+			host: listeners.host,
+			peerPort: listeners.peer,
+			controlPort: listeners.gossip,
+			region: node.region,
+			failureDomain: node.failureDomain,
+			slots: 0,
+		},
+		seeds: settings.seeds,
+		now,
+		random: Math.random,
+		parameters: {
+			reconnectIntervalMilliseconds,
+			joinTimeoutMilliseconds,
+			settleMilliseconds,
+		},
+		...createSeedTable(adapter.table),
+	});
+}
+
+function listenAll(
+	settings: RelaySettings,
+	adapter: Adapter,
+	log: EventLog,
+	parts: Parts,
+): Effect.Effect<Server[], RelayStartError> {
+	const {listeners} = settings;
+	const own = (port: number) => ({host: listeners.host, port});
+	const bindings: ReadonlyArray<readonly [Server, {host: string; port: number}]> = [
+		[parts.callers.server, splitAddress(listeners.callers)],
+		[createReadinessListener(parts.isReady), splitAddress(listeners.readiness)],
+		[
+			adapter.createAnnouncementListener(parts.gate, log),
+			splitAddress(listeners.announcements),
+		],
+		[parts.peerListener, own(listeners.peer)],
+		[parts.metrics.listener, own(listeners.metrics)],
+	];
+	return Effect.forEach(bindings, ([server, {host, port}]) =>
+		Effect.tryPromise({
+			try: async () => bind(server, host, port),
+			catch: (error): RelayStartError => ({
+				kind: 'listen-failed',
+				message: `cannot listen at ${host}:${port} (${String(error)}); set a free port of this VM`,
+			}),
+		}),
+	);
+}
+
+async function bind(server: Server, host: string, port: number): Promise<Server> {
+	return new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({host, port, backlog: 1024}, () => {
+			server.removeListener('error', reject);
+			resolve(server);
+		});
+	});
+}
+
+function createReadinessListener(isReady: () => boolean): Server {
+	return createServer((_request, response) => {
+		response.writeHead(isReady() ? 200 : 503, {'content-length': '0'});
+		response.end();
+	});
+}
+
+async function stopRelay(
+	settings: RelaySettings,
+	parts: Parts,
+	membership: Membership,
+	log: EventLog,
+): Promise<void> {
+	const startedAt = now();
+	parts.setLeaving();
+	log.info('node stopping', {inFlight: parts.callers.countInFlight()});
+	let isDraining = false;
+	for (;;) {
+		const {running, waiting} = parts.gate.state();
+		const step = decideStopStep({
+			elapsedMilliseconds: now() - startedAt,
+			graceMilliseconds: settings.stop.graceMilliseconds,
+			inFlight: running + waiting + parts.callers.countInFlight(),
+			quietMilliseconds: now() - parts.callers.lastRequestAt(),
+		});
+		if (step === stopSteps.end) {
+			break;
+		}
+
+		if (step === stopSteps.drain && !isDraining) {
+			isDraining = true;
+			parts.gate.leave();
+			void membership.leave();
+		}
+
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, stopCheckMilliseconds);
+		});
+	}
+
+	const left = parts.callers.countInFlight();
+	log.info('node stopped', {
+		inFlight: left,
+		milliseconds: Math.round(now() - startedAt),
+		members: membership.all().filter(({status}) => status === memberStatuses.alive).length,
+	});
+}
--- /dev/null
+++ b/src/relay/server-exchange.ts
@@ -0,0 +1,268 @@
+/**
+ * One request at the server beside the node. It owns the kept connections to the server and
+ * judges what comes back: an answer counts only if it is whole, sealed and of this very request;
+ * only what the server declares, or a connection that was never made, proves that nothing ran.
+ */
+import {Agent} from 'node:http';
+import {
+	attemptResultKinds,
+	copyEndToEndHeaders,
+	createRefusal,
+	outcomes,
+	refusalKinds,
+	type AttemptResult,
+	type RefusalKind,
+} from '../call/index.js';
+import {
+	exchangeKinds,
+	startExchange,
+	type ExchangeAnswered,
+	type ExchangeResult,
+} from '../http/index.js';
+import type {RelayCall} from './call.js';
+import type {Dialect, ServerAnswerFacts} from './dialect.js';
+
+/** Answers up to this size are held until they are whole, in bytes. */
+export const heldAnswerBytes = 1_048_576;
+/** The server stands on the same VM, where a connection takes about a millisecond. */
+const connectTimeoutMilliseconds = 500;
+/** Kept connections are closed well before a server closes them, in milliseconds. */
+const idleConnectionMilliseconds = 4000;
+/** How long after a stray answer or a lost one kept connections are not trusted. */
+const distrustMilliseconds = 10_000;
+/** Tries on kept connections that turn out unusable before anything is sent. */
+const unsentTries = 3;
+const firstFailureStatus = 500;
+
+/** How the server ended a request. */
+export const serverEnds = {
+	answered: 'answered',
+	/** It answered with a failure of its own. */
+	failed: 'failed',
+	/** It declared that it did not run the request. */
+	shed: 'shed',
+	/** It takes no connection. */
+	unreachable: 'unreachable',
+	/** The connection broke, or what came is not the answer to this request. */
+	lost: 'lost',
+} as const;
+
+export type ServerEnd = (typeof serverEnds)[keyof typeof serverEnds];
+
+/** What became of a request at the server. */
+export type ServerResult = {
+	readonly end: ServerEnd;
+	readonly result: AttemptResult;
+	/** What the answer says of the server; undefined without one. */
+	readonly facts: ServerAnswerFacts | undefined;
+	/** What was seen, for the log. */
+	readonly reason: string;
+};
+
+/** The server, as the gate knows it. */
+export type ServerTarget = {
+	readonly id: string | undefined;
+	readonly host: string;
+	readonly port: number;
+};
+
+export type RunningServerExchange = {
+	/** Never rejects. */
+	readonly result: Promise<ServerResult>;
+	readonly cancel: () => void;
+};
+
+export type ServerClient = {
+	readonly start: (target: ServerTarget, call: RelayCall) => RunningServerExchange;
+	/** Kept connections belong to a life of the server that has ended. */
+	readonly forgetConnections: () => void;
+	readonly close: () => void;
+};
+
+export type ServerClientOptions = {
+	readonly dialect: Dialect;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	/** Connections that the server accepts at most. */
+	readonly maximumConnections: number;
+};
+
+/**
+ * Creates the client of the server beside the node.
+ *
+ * @param options the server's language, its bound on connections and the clock
+ * @returns the client
+ */
+export function createServerClient(options: ServerClientOptions): ServerClient {
+	const {dialect, now} = options;
+	const fresh = new Agent({keepAlive: false, maxSockets: options.maximumConnections});
+	let kept = createKeptAgent(options);
+	let distrustUntil = Number.NEGATIVE_INFINITY;
+
+	function start(target: ServerTarget, call: RelayCall): RunningServerExchange {
+		let cancelled = false;
+		let running = send(target, call);
+		const cancel = (): void => {
+			cancelled = true;
+			running.cancel();
+		};
+
+		const follow = async (): Promise<ServerResult> => {
+			let result = await running.result;
+			for (let tries = 1; tries < unsentTries && !cancelled; tries += 1) {
+				if (result.kind !== exchangeKinds.unsent || !isStale(result.message)) {
+					break;
+				}
+
+				running = send(target, call);
+				result = await running.result;
+			}
+
+			return judge(result, call);
+		};
+
+		return {result: follow(), cancel};
+	}
+
+	function send(target: ServerTarget, call: RelayCall) {
+		const isDistrusted = now() < distrustUntil;
+		const head = {
+			serverId: target.id,
+			originService: call.originService,
+			remainingMilliseconds: Math.max(1, Math.floor(call.deadlineAt - now())),
+		};
+		return startExchange({
+			agent: isDistrusted && !call.idempotent ? fresh : kept,
+			host: target.host,
+			port: target.port,
+			method: call.method,
+			path: call.path,
+			headers: dialect.listServerHeaders(call.headers, head),
+			body: call.body,
+			awaitContinue: false,
+			connectTimeoutMilliseconds,
+			holdBytes: heldAnswerBytes,
+		});
+	}
+
+	function judge(result: ExchangeResult, call: RelayCall): ServerResult {
+		if (result.kind === exchangeKinds.answered) {
+			const facts = dialect.readServerAnswer(result.status, result.rawHeaders);
+			const fault = findFault(result, facts, call);
+			if (fault !== undefined) {
+				distrust();
+			}
+
+			return fault === undefined
+				? judgeAnswer(result, facts)
+				: {end: serverEnds.lost, result: createLost(fault), facts, reason: fault};
+		}
+
+		const reason = result.message;
+		if (result.kind === exchangeKinds.unsent) {
+			const text = `the server takes no connection (${reason}): try again shortly`;
+			return {
+				end: serverEnds.unreachable,
+				result: createNotRun(refusalKinds.noServer, text),
+				facts: undefined,
+				reason,
+			};
+		}
+
+		distrust();
+		return {end: serverEnds.lost, result: createLost(reason), facts: undefined, reason};
+	}
+
+	function distrust(): void {
+		distrustUntil = now() + distrustMilliseconds;
+	}
+
+	return {
+		start,
+		forgetConnections() {
+			const previous = kept;
+			kept = createKeptAgent(options);
+			previous.keepSocketAlive = () => false;
+			for (const sockets of Object.values(previous.freeSockets)) {
+				for (const socket of sockets ?? []) {
+					socket.destroy();
+				}
+			}
+		},
+		close() {
+			kept.destroy();
+			fresh.destroy();
+		},
+	};
+}
+
+function createKeptAgent(options: ServerClientOptions): Agent {
+	return new Agent({
+		keepAlive: true,
+		maxSockets: options.maximumConnections,
+		timeout: idleConnectionMilliseconds,
+	});
+}
+
+function isStale(message: string): boolean {
+	return message.includes('kept connection');
+}
+
+/** Finds why an answer cannot be passed on as the answer to this request. */
+function findFault(
+	answer: ExchangeAnswered,
+	facts: ServerAnswerFacts,
+	call: RelayCall,
+): string | undefined {
+	if (facts.declaredNotRun || facts.isOtherServer) {
+		return undefined;
+	}
+
+	if (facts.requestId !== undefined && facts.requestId !== call.requestId) {
+		return 'the server answered another request';
+	}
+
+	const isSuccess = answer.status >= 200 && answer.status < 300;
+	return isSuccess && !facts.sealed ? 'a success without the seal' : undefined;
+}
+
+function judgeAnswer(answer: ExchangeAnswered, facts: ServerAnswerFacts): ServerResult {
+	if (facts.isOtherServer) {
+		const reason = 'another server has the address';
+		const result = createNotRun(refusalKinds.noServer, `${reason}: try again shortly`);
+		return {end: serverEnds.unreachable, result, facts, reason};
+	}
+
+	if (facts.declaredNotRun) {
+		const reason = `the server shed the request with status ${answer.status}`;
+		const result = createNotRun(refusalKinds.serverFailed, `${reason}: try again shortly`);
+		return {end: serverEnds.shed, result, facts, reason};
+	}
+
+	const hasFailed = answer.status >= firstFailureStatus;
+	return {
+		end: hasFailed ? serverEnds.failed : serverEnds.answered,
+		result: {
+			kind: attemptResultKinds.answered,
+			status: answer.status,
+			headers: copyEndToEndHeaders(answer.rawHeaders),
+			body: answer.body,
+			load: undefined,
+		},
+		facts,
+		reason: `status ${answer.status}`,
+	};
+}
+
+function createNotRun(kind: RefusalKind, message: string): AttemptResult {
+	return {
+		kind: attemptResultKinds.refused,
+		refusal: createRefusal(kind, message),
+		outcome: outcomes.notRun,
+		load: undefined,
+	};
+}
+
+function createLost(message: string): AttemptResult {
+	return {kind: attemptResultKinds.lost, message};
+}
--- /dev/null
+++ b/src/relay/stop.ts
@@ -0,0 +1,56 @@
+/**
+ * The planned stop of a relay node. Callers are told first and still served; then the gate takes
+ * nothing new, so that the capacity of its server is used as long as possible; the process ends
+ * when nothing is in flight and no caller comes any more, or at the end of its grace.
+ */
+
+/** How a node stands while it stops. */
+export type StopProgress = {
+	/** Times since the stop was asked for, in milliseconds. */
+	readonly elapsedMilliseconds: number;
+	readonly graceMilliseconds: number;
+	/** Requests of callers and attempts at the gate that are not answered yet. */
+	readonly inFlight: number;
+	/** Time since the last request of a caller. */
+	readonly quietMilliseconds: number;
+};
+
+export const stopSteps = {
+	/** Callers are told; the gate still takes work. */
+	notice: 'notice',
+	/** The gate takes nothing new; what is in flight goes on. */
+	drain: 'drain',
+	end: 'end',
+} as const;
+
+export type StopStep = (typeof stopSteps)[keyof typeof stopSteps];
+
+/** Callers ask once a second whether a node is ready, and leave after two answers that it isn't. */
+const noticeMilliseconds = 1200;
+const callersGoneMilliseconds = 2600;
+/** No caller has come for this long. */
+const quietMilliseconds = 300;
+/** Time kept back to close listeners and write the log. */
+const closeMilliseconds = 500;
+
+/**
+ * Decides how a stop goes on.
+ *
+ * @param progress how the node stands
+ * @returns the step that it is in now
+ */
+export function decideStopStep(progress: StopProgress): StopStep {
+	const {elapsedMilliseconds, graceMilliseconds, inFlight} = progress;
+	if (elapsedMilliseconds >= graceMilliseconds - closeMilliseconds) {
+		return stopSteps.end;
+	}
+
+	if (elapsedMilliseconds < noticeMilliseconds) {
+		return stopSteps.notice;
+	}
+
+	const isQuiet =
+		elapsedMilliseconds >= callersGoneMilliseconds &&
+		progress.quietMilliseconds >= quietMilliseconds;
+	return isQuiet && inFlight === 0 ? stopSteps.end : stopSteps.drain;
+}
--- a/src/platform/index.ts
+++ b/src/table/index.ts
@@ -1,4 +1,5 @@
-/** Public surface of the platform: the table service and what can go wrong with it. */
+/** Public surface of the table service: its client, what can go wrong with it, and its exchanges. */
+export {sendExchange, type ExchangeAnswer, type ExchangeRequest} from './exchange.js';
 export {
 	createTableClient,
 	type ListRequest,
@@ -8,6 +9,9 @@
 	type WriteCondition,
 } from './table-client.js';
 export {
+	createConflict,
+	createRejected,
+	createUnavailable,
 	tableErrorKinds,
 	type TableError,
 	type TableErrorKind,
--- /dev/null
+++ b/src/waiting/index.ts
@@ -0,0 +1,20 @@
+/** Public surface of waiting: which request starts, waits, yields or is refused at a gate. */
+export {currentSlowdown, reportSlowdown} from './pace.js';
+export {
+	changeSlots,
+	createQueue,
+	endWork,
+	estimateWait,
+	estimateWork,
+	offerOutcomes,
+	offerWork,
+	takeTurns,
+	withdrawWork,
+	type Offer,
+	type OfferOutcome,
+	type QueueState,
+	type Turn,
+	type WorkEnd,
+} from './queue.js';
+export {chooseRetryAfter} from './retry-after.js';
+export {compareWork, type Work} from './work.js';
--- a/test/process/configuration-support.ts
+++ b/test/process/configuration-support.ts
@@ -1,7 +1,7 @@
 /** A fleet of bare node processes with the table stand-in, and their administration API. */
 import {createHash} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createTableClient} from '../../src/platform/index.js';
+import {createTableClient} from '../../src/table/index.js';
 import {
 	findFreePorts,
 	startProcess,
--- a/test/support/table.ts
+++ b/test/support/table.ts
@@ -1,6 +1,6 @@
 /** The table stand-in inside the test's own process. */
 import {createServer} from 'node:http';
-import {createTableClient, type TableClient} from '../../src/platform/index.js';
+import {createTableClient, type TableClient} from '../../src/table/index.js';
 import {createTableHandler} from '../../stand-ins/table/handler.js';
 
 export const shortTimeoutMilliseconds = 150;
--- a/test/platform/table-client.test.ts
+++ b/test/table/table-client.test.ts
@@ -1,7 +1,7 @@
 /** The contract of the table, held against the stand-in, with its faults in a table. */
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {createTableClient} from '../../src/platform/index.js';
+import {createTableClient} from '../../src/table/index.js';
 import {shortTimeoutMilliseconds, withTable} from '../support/table.js';
 
 test('a row is written under its condition, read, listed and removed', async () => {
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** Lint rules: XO's own, with its formatting rules left to Prettier set to XO's style. */
 const config = [
 	{
-		ignores: ['dist/**', 'src/generated/**', 'docs/**'],
+		ignores: ['dist/**', 'target/**', 'src/generated/**', 'docs/**'],
 	},
 	{
 		prettier: 'compat',
