Hold work back while its server is in a slow piece

Durations by their start (all nodes' logs) cluster: work that starts within a slow piece of some 150 ms is five times slower to its end, and 82 of 1,256 starts were known to be slow. Ruled out: queueing (no wait at the gates), nested calls (their own durations are usual).

--- a/src/placing/index.ts
+++ b/src/placing/index.ts
@@ -3,6 +3,7 @@
 export {
 	distances,
 	isFartherWorthAsking,
+	isGoodEnough,
 	rateGates,
 	type ByteCosts,
 	type Candidate,
--- a/src/placing/place.ts
+++ b/src/placing/place.ts
@@ -66,6 +66,10 @@
 const lateValue = 0.1;
 /** Spread of the actual time around the estimate, as a share of the estimate. */
 const estimateSpread = 0.35;
+/** From this value on another gate has little to offer. */
+const goodValue = 0.8;
+/** A server that fails less than this is as good as any. */
+const negligibleFailures = 0.1;
 const bytesPerKilobyte = 1000;
 /** Gates whose values differ by less are told apart by when the answer is expected. */
 const sameValue = 0.02;
@@ -89,6 +93,22 @@
 		.toSorted(compareRated);
 }
 
+/**
+ * Tells whether a gate is taken without asking others: the request would start at once, at a
+ * server that fails next to nothing, and is likely answered in time.
+ *
+ * @param rated the gate
+ * @returns whether to take it
+ */
+export function isGoodEnough({report, value}: RatedCandidate): boolean {
+	return (
+		report !== undefined &&
+		report.waitMilliseconds === 0 &&
+		report.failureShare < negligibleFailures &&
+		value >= goodValue
+	);
+}
+
 /**
  * Tells whether gates farther away may be worth the question: whether what the best near gate
  * loses is more than what the bytes to a far one cost.
--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -26,6 +26,16 @@
 	readonly slowdown: number | undefined;
 };
 
+/** What a server's health path says. */
+export type ServerHealth = {
+	/** Undefined when it does not say. */
+	readonly serverId: string | undefined;
+	/** Requests that it runs at once; undefined when it does not say. */
+	readonly slots: number | undefined;
+	/** Time that work takes on the server's VM, in proportion to the usual. */
+	readonly slowdown: number | undefined;
+};
+
 /** What a server is told besides the caller's request. */
 export type ServerHead = {
 	readonly serverId: string | undefined;
@@ -39,6 +49,7 @@
 	/** The caller's headers as the server gets them. */
 	readonly listServerHeaders: (headers: HeaderList, head: ServerHead) => string[];
 	readonly readServerAnswer: (status: number, headers: HeaderList) => ServerAnswerFacts;
+	readonly readServerHealth: (headers: HeaderList) => ServerHealth;
 	/** Status of a refusal of the relay's own. */
 	readonly statusOf: (refusal: Refusal, outcome: Outcome) => number;
 	/** Headers of a refusal of the relay's own. */
--- a/src/relay/gate-socket.ts
+++ b/src/relay/gate-socket.ts
@@ -17,7 +17,7 @@
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 	/** Answers for the gate of this node. */
-	readonly report: (question: LoadQuestion) => GateReport;
+	readonly report: (question: LoadQuestion) => Promise<GateReport>;
 	readonly cancelAttempt: (id: AttemptId) => boolean;
 	/** Number of this life of the node. */
 	readonly incarnation: number;
@@ -98,19 +98,22 @@
 			return;
 		}
 
-		const answer = answerQuestion(body, options);
-		if (answer === undefined) {
+		const answering = answerQuestion(body, options);
+		if (answering === undefined) {
 			settle(datagram);
 			return;
 		}
 
-		const reply = GateDatagram.encode({
-			sequence: datagram.sequence,
-			body: answer,
-		}).finish();
-		const isFree = answer.$case === 'cancelAnswer';
-		if (isFree || options.spend('probeReply', reply.length + datagramOverheadBytes)) {
-			send(from, reply);
+		void answering.then(answer => {
+			reply(datagram.sequence, answer, from);
+		});
+	}
+
+	function reply(number: number, body: Body, to: GateAddress): void {
+		const bytes = GateDatagram.encode({sequence: number, body}).finish();
+		const isFree = body.$case === 'cancelAnswer';
+		if (isFree || options.spend('probeReply', bytes.length + datagramOverheadBytes)) {
+			send(to, bytes);
 		}
 	}
 
@@ -188,16 +191,12 @@
 }
 
 /** Answers a question; an answer to one of this node's own is no question. */
-function answerQuestion(body: Body, options: GateSocketOptions): Body | undefined {
+function answerQuestion(
+	body: Body,
+	options: GateSocketOptions,
+): Promise<Body> | undefined {
 	if (body.$case === 'loadQuestion') {
-		const report = options.report(body.value);
-		const loadAnswer = {
-			accepting: report.accepting,
-			waitMilliseconds: toWhole(report.waitMilliseconds),
-			durationMilliseconds: toWhole(report.durationMilliseconds),
-			failurePercent: toWhole(report.failureShare * percent),
-		};
-		return {$case: 'loadAnswer', value: loadAnswer};
+		return answerLoad(body.value, options);
 	}
 
 	if (body.$case === 'cancelQuestion') {
@@ -205,12 +204,26 @@
 		// Another life of this node knows nothing of the attempt and proves nothing.
 		const neverDispatched =
 			incarnation === options.incarnation && options.cancelAttempt({ingress, sequence});
-		return {$case: 'cancelAnswer', value: {neverDispatched}};
+		return Promise.resolve({$case: 'cancelAnswer', value: {neverDispatched}});
 	}
 
 	return undefined;
 }
 
+async function answerLoad(
+	question: LoadQuestion,
+	options: GateSocketOptions,
+): Promise<Body> {
+	const report = await options.report(question);
+	const value = {
+		accepting: report.accepting,
+		waitMilliseconds: toWhole(report.waitMilliseconds),
+		durationMilliseconds: toWhole(report.durationMilliseconds),
+		failurePercent: toWhole(report.failureShare * percent),
+	};
+	return {$case: 'loadAnswer', value};
+}
+
 function toWhole(value: number): number {
 	return Math.min(largestMilliseconds, Math.max(0, Math.round(value)));
 }
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -31,6 +31,7 @@
 	type RunningAttempt,
 } from '../call/index.js';
 import type {Logger} from '../log/index.js';
+import {createSpendingWindow, trySpendAmount} from '../measuring/index.js';
 import {
 	createFailures,
 	findFailureShare,
@@ -45,6 +46,7 @@
 	type RepeatPolicy,
 } from '../repeats/index.js';
 import {
+	assumeUsualSpeed,
 	changeSlots,
 	chooseRetryAfter,
 	createQueue,
@@ -52,6 +54,7 @@
 	endWork,
 	estimateWait,
 	estimateWork,
+	isSpeedStale,
 	offerOutcomes,
 	offerWork,
 	reportSlowdown,
@@ -89,6 +92,10 @@
 	/** Address and service of the server beside the node. */
 	readonly server: {readonly host: string; readonly port: number; readonly service: string};
 	readonly maximumConnections: number;
+	/** Health path of the service; undefined while no routes are known. */
+	readonly healthPath: () => string | undefined;
+	/** Questions that the health path may be asked in any second. */
+	readonly probesPerSecond: number;
 	readonly repeats: RepeatPolicy;
 	/** Gates of the service, this one included. */
 	readonly countGates: () => number;
@@ -109,8 +116,8 @@
 
 export type RelayGate = {
 	readonly run: (attempt: RelayAttempt) => RunningAttempt;
-	/** Tells what a request would meet here now. */
-	readonly report: (question: LoadQuestion) => GateReport;
+	/** Tells what a request would meet here now, once the server's speed is known. */
+	readonly report: (question: LoadQuestion) => Promise<GateReport>;
 	/** Cancels an attempt; true only if it never was and never will be handed over. */
 	readonly cancelAttempt: (id: AttemptId) => boolean;
 	readonly announce: (announcement: ServerAnnouncement) => AnnouncementVerdict;
@@ -134,8 +141,8 @@
 	startedAt: number;
 };
 
-/** How often what waits is looked at for time that has run out, in milliseconds. */
-const expiryIntervalMilliseconds = 10;
+/** How often what waits is looked at: for lost time, and for the server's speed. */
+const pumpIntervalMilliseconds = 15;
 /** Deadlines that differ by less belong to a request and its caller, in milliseconds. */
 const sameDeadlineMilliseconds = 4;
 /** How long a server that takes no connection is left alone, in milliseconds. */
@@ -160,8 +167,11 @@
 	let failures: Failures = createFailures();
 	let record: ServerRecord | undefined;
 	let leaving = false;
+	const probes = createSpendingWindow(options.probesPerSecond);
+	let probing: Promise<void> | undefined;
+	let isReportAwaited = false;
 	let unreachableUntil = Number.NEGATIVE_INFINITY;
-	let expiryTimer: NodeJS.Timeout | undefined;
+	let pumpTimer: NodeJS.Timeout | undefined;
 
 	function isAccepting(): boolean {
 		return (
@@ -230,16 +240,59 @@
 			return;
 		}
 
-		log.info(
-			decision.outcome === offerOutcomes.started ? 'gate started' : 'gate queued',
-			{...describe(entry), ...describeOffer(decision)},
-		);
-		if (decision.outcome === offerOutcomes.started) {
-			dispatch(entry);
+		pump();
+		if (entry.exchange === undefined) {
+			log.info('gate queued', {...describe(entry), ...describeOffer(decision)});
+		}
+	}
+
+	/** Starts what may start; asks for the server's speed first when that is not known. */
+	function pump(): void {
+		const turn = takeTurns(queue, now());
+		followTurn(turn);
+		if (turn.wantsReport) {
+			pumpAfterReport();
+			return;
+		}
+
+		if (queue.waiting.size > 0) {
+			pumpLater();
+		}
+	}
+
+	/** One turn for each report, however many requests wait for it. */
+	function pumpAfterReport(): void {
+		if (isReportAwaited) {
+			return;
+		}
+
+		isReportAwaited = true;
+		void refreshSpeed().then(() => {
+			isReportAwaited = false;
+			pump();
+		});
+	}
+
+	/** Learns the server's speed; calls that come meanwhile share the answer. */
+	async function refreshSpeed(): Promise<void> {
+		probing ??= probe().finally(() => {
+			probing = undefined;
+		});
+		await probing;
+	}
+
+	async function probe(): Promise<void> {
+		const path = options.healthPath();
+		const mayProbe = path !== undefined && trySpendAmount(probes, 1, now());
+		const health = mayProbe
+			? await client.probe({id: record?.id, host: server.host, port: server.port}, path)
+			: undefined;
+		if (health === undefined) {
+			assumeUsualSpeed(queue.pace, now());
 			return;
 		}
 
-		expireLater();
+		reportSlowdown(queue.pace, health.slowdown, now());
 	}
 
 	function describeTooLate(entry: Entry, decision: Offer): Refusal {
@@ -265,6 +318,15 @@
 	}
 
 	function dispatch(entry: Entry): void {
+		log.info('gate started', {
+			...describe(entry),
+			waitedMilliseconds: Math.round(now() - entry.work.arrivedAt),
+			running: queue.running.size,
+			waiting: queue.waiting.size,
+			limit: queue.limit,
+			slowdown: currentSlowdown(queue.pace, now()),
+			reportAge: Math.round(now() - queue.pace.reportedAt),
+		});
 		dispatchAttempt(attempts, entry.attempt.id);
 		entry.startedAt = now();
 		entry.exchange = client.start(
@@ -291,6 +353,10 @@
 		learn(entry, result, present);
 		const whole = result.end === serverEnds.answered && !entry.cancelled;
 		followTurn(endWork(queue, entry.key, {whole}, present));
+		if (queue.waiting.size > 0) {
+			pump();
+		}
+
 		log.info('gate finished', {
 			...describe(entry),
 			end: entry.cancelled ? 'cancelled' : result.end,
@@ -353,14 +419,11 @@
 	}
 
 	/** One timer for the whole queue, and none while it is empty. */
-	function expireLater(): void {
-		expiryTimer ??= setTimeout(() => {
-			expiryTimer = undefined;
-			followTurn(takeTurns(queue, now()));
-			if (queue.waiting.size > 0) {
-				expireLater();
-			}
-		}, expiryIntervalMilliseconds);
+	function pumpLater(): void {
+		pumpTimer ??= setTimeout(() => {
+			pumpTimer = undefined;
+			pump();
+		}, pumpIntervalMilliseconds);
 	}
 
 	function cancel(entry: Entry): void {
@@ -449,10 +512,14 @@
 				},
 			};
 		},
-		report(question) {
+		async report(question) {
+			if (isAccepting() && isSpeedStale(queue.pace, now())) {
+				await refreshSpeed();
+			}
+
 			return {
 				accepting: isAccepting(),
-				waitMilliseconds: estimateWait(queue, question),
+				waitMilliseconds: estimateWait(queue, question, now()),
 				durationMilliseconds: estimateWork(queue, question, now()),
 				failureShare: findFailureShare(failures, now()),
 			};
@@ -504,7 +571,7 @@
 			failureShare: findFailureShare(failures, now()),
 		}),
 		close() {
-			clearTimeout(expiryTimer);
+			clearTimeout(pumpTimer);
 			client.close();
 		},
 	};
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -7,11 +7,11 @@
 import {
 	distances,
 	isFartherWorthAsking,
+	isGoodEnough,
 	rateGates,
 	type ByteCosts,
 	type Candidate,
 	type Distance,
-	type GateReport,
 	type RatedCandidate,
 } from '../placing/index.js';
 import {isWhole} from '../call/index.js';
@@ -81,6 +81,11 @@
 	[distances.remote]: 20,
 };
 const roundTripWeight = 0.2;
+const nearOrder: readonly Distance[] = [
+	distances.own,
+	distances.failureDomain,
+	distances.region,
+];
 
 /**
  * Creates the placer.
@@ -143,17 +148,23 @@
 			(report.roundTripMilliseconds - state.roundTripMilliseconds) * roundTripWeight;
 	}
 
-	function describeCandidate(member: Member, question: LoadQuestion): Candidate {
-		const distance = distanceOf(member, place);
-		if (distance === distances.own) {
-			const report: GateReport = options.gate.report(question);
-			return {nodeId: member.nodeId, distance, report, roundTripMilliseconds: 0};
-		}
+	async function askOwn(member: Member, question: LoadQuestion): Promise<void> {
+		const report = await options.gate.report(question);
+		take(find(member), {...report, roundTripMilliseconds: 0});
+	}
 
+	function describeCandidate(member: Member): Candidate {
 		const {report, roundTripMilliseconds} = find(member);
+		const distance = distanceOf(member, place);
 		return {nodeId: member.nodeId, distance, report, roundTripMilliseconds};
 	}
 
+	async function askNear(member: Member, question: LoadQuestion): Promise<void> {
+		await (member.nodeId === place.nodeId
+			? askOwn(member, question)
+			: ask(member, question, nearTimeoutMilliseconds));
+	}
+
 	return {
 		async rank(call, excluded) {
 			const members = options
@@ -167,11 +178,13 @@
 				nested: call.nested,
 				targetMilliseconds: call.targetMilliseconds,
 			};
-			const near = members.filter(member => isNear(member, place));
+			const near = members
+				.filter(member => isNear(member, place))
+				.toSorted((left, right) => nearness(left, place) - nearness(right, place));
 			const far = members.filter(member => !isNear(member, place));
 			const rate = (list: readonly Member[]): RatedGate[] => {
 				const byId = new Map(list.map(member => [member.nodeId, member]));
-				const candidates = list.map(member => describeCandidate(member, question));
+				const candidates = list.map(member => describeCandidate(member));
 				const placement = describePlacement(call, options, now());
 				return rateGates(candidates, placement, options.costs).map(rated => ({
 					...rated,
@@ -180,11 +193,17 @@
 				}));
 			};
 
-			await Promise.all(
-				near
-					.filter(({nodeId}) => nodeId !== place.nodeId)
-					.map(async member => ask(member, question, nearTimeoutMilliseconds)),
-			);
+			const [nearest, ...others] = near;
+			if (nearest !== undefined) {
+				await askNear(nearest, question);
+				const [first] = rate([nearest]);
+				if (first && isGoodEnough(first)) {
+					return [first];
+				}
+
+				await Promise.all(others.map(async member => askNear(member, question)));
+			}
+
 			const rated = rate(near);
 			const placement = describePlacement(call, options, now());
 			if (
@@ -217,6 +236,11 @@
 	return member.region === place.region;
 }
 
+/** Order in which near gates are asked: the own one, then the own failure domain's. */
+function nearness(member: Member, place: NodePlace): number {
+	return nearOrder.indexOf(distanceOf(member, place));
+}
+
 function distanceOf(member: Member, place: NodePlace): Distance {
 	if (member.nodeId === place.nodeId) {
 		return distances.own;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -142,6 +142,10 @@
 		random: Math.random,
 		server: {...splitAddress(server.address), service: server.service},
 		maximumConnections: server.maximumConnections,
+		healthPath: () =>
+			holder.current()?.table.services.find(({name}) => name === server.service)
+				?.healthPath,
+		probesPerSecond: settings.measuring.probesPerSecond,
 		repeats: settings.repeats,
 		countGates: () => Math.max(1, membersOf(server.service).length),
 		onSlots(slots) {
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -20,7 +20,7 @@
 	type ExchangeResult,
 } from '../http/index.js';
 import type {RelayCall} from './call.js';
-import type {Dialect, ServerAnswerFacts} from './dialect.js';
+import type {Dialect, ServerAnswerFacts, ServerHealth} from './dialect.js';
 
 /** Answers up to this size are held until they are whole, in bytes. */
 export const heldAnswerBytes = 1_048_576;
@@ -33,6 +33,10 @@
 /** Tries on kept connections that turn out unusable before anything is sent. */
 const unsentTries = 3;
 const firstFailureStatus = 500;
+/** The health path answers at once, in about a millisecond. */
+const probeTimeoutMilliseconds = 40;
+
+const emptyBody = new Uint8Array(0);
 
 /** How the server ended a request. */
 export const serverEnds = {
@@ -74,6 +78,8 @@
 
 export type ServerClient = {
 	readonly start: (target: ServerTarget, call: RelayCall) => RunningServerExchange;
+	/** Asks the server's health path; undefined when it does not answer in time. */
+	readonly probe: (target: ServerTarget, path: string) => Promise<ServerHealth | undefined>;
 	/** Kept connections belong to a life of the server that has ended. */
 	readonly forgetConnections: () => void;
 	readonly close: () => void;
@@ -177,8 +183,33 @@
 		distrustUntil = now() + distrustMilliseconds;
 	}
 
+	async function probe(
+		target: ServerTarget,
+		path: string,
+	): Promise<ServerHealth | undefined> {
+		const exchange = startExchange({
+			agent: kept,
+			host: target.host,
+			port: target.port,
+			method: 'GET',
+			path,
+			headers: [],
+			body: emptyBody,
+			awaitContinue: false,
+			connectTimeoutMilliseconds: probeTimeoutMilliseconds,
+			holdBytes: heldAnswerBytes,
+		});
+		const timer = setTimeout(exchange.cancel, probeTimeoutMilliseconds);
+		const result = await exchange.result;
+		clearTimeout(timer);
+		return result.kind === exchangeKinds.answered
+			? dialect.readServerHealth(result.rawHeaders)
+			: undefined;
+	}
+
 	return {
 		start,
+		probe,
 		forgetConnections() {
 			const previous = kept;
 			kept = createKeptAgent(options);
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -57,8 +57,10 @@
 		.object({
 			bytesPerSecond: z.number().positive().default(16_384),
 			processorShare: z.number().positive().max(1).default(0.02),
+			/** Questions that one server's health path may be asked in a second. */
+			probesPerSecond: z.number().min(0).default(50),
 		})
-		.default({bytesPerSecond: 16_384, processorShare: 0.02}),
+		.default({bytesPerSecond: 16_384, processorShare: 0.02, probesPerSecond: 50}),
 });
 
 /** Checked settings. */
--- a/src/waiting/pace.ts
+++ b/src/waiting/pace.ts
@@ -1,15 +1,22 @@
 /**
- * How long work takes at one server: a moving mean for each route, and the speed that the server
- * reports of its VM. Neighbours on the VM slow it down for short pieces of time, so a report
- * counts only for as long as such a piece lasts.
+ * How long work takes at one server: a moving mean for each route, and the speed of the server's
+ * VM as the server reports it. Neighbours on the VM slow it down for short pieces of time, and
+ * work that starts in such a piece is slow to its end. So a report counts only while it is fresh,
+ * and work is held back for the rest of a slow piece where that ends sooner.
  *
  * Load pattern: servers whose speed shifts by a factor of several within a fraction of a second.
  */
 
 /** Work of the server at its usual speed. */
 export const usualSpeed = 1;
-/** How long a report of the speed counts, in milliseconds; the usual length of a slow piece. */
-const reportLifetimeMilliseconds = 150;
+/** How long a report of the speed counts, in milliseconds; short beside a slow piece. */
+const freshMilliseconds = 5;
+/** Usual length of a slow piece, in milliseconds. */
+const pieceMilliseconds = 150;
+/** A server that is slow for longer than this is slow for good, in milliseconds. */
+const steadyMilliseconds = 3 * pieceMilliseconds;
+/** Slowdown from which on a server counts as slow. */
+const slowFrom = 1.5;
 /** Weight of one more duration in a moving mean. */
 const durationWeight = 0.1;
 /** Share of the latency target that a route's work is taken to need before any was seen. */
@@ -18,14 +25,18 @@
 const coldFactor = 1.5;
 
 export type Pace = {
-	/** Mean duration of each route's work, in milliseconds. */
+	/** Mean duration of each route's work at usual speed, in milliseconds. */
 	readonly durations: Map<string, number>;
-	/** Mean duration over all routes, in milliseconds. */
+	/** Mean duration over all routes as it was, in milliseconds. */
 	meanDuration: number | undefined;
 	/** Time that work takes now, in proportion to the usual; above one is slower. */
 	slowdown: number;
-	/** Monotonic time of that report, in milliseconds. */
+	/** Whether the server reports its speed at all; undefined until it was asked. */
+	reportsSpeed: boolean | undefined;
+	/** Monotonic time of the last report, in milliseconds. */
 	reportedAt: number;
+	/** Monotonic time since which every report was slow, in milliseconds. */
+	slowSince: number | undefined;
 	/** Monotonic time until which the server is cold, in milliseconds. */
 	coldUntil: number;
 };
@@ -36,7 +47,9 @@
 		durations: new Map(),
 		meanDuration: undefined,
 		slowdown: usualSpeed,
+		reportsSpeed: undefined,
 		reportedAt: Number.NEGATIVE_INFINITY,
+		slowSince: undefined,
 		coldUntil: Number.NEGATIVE_INFINITY,
 	};
 }
@@ -47,12 +60,17 @@
  * @param pace changed in place
  * @param route name of the route
  * @param milliseconds how long the server took
+ * @param slowdown its slowdown when the work started
  */
-export function learnDuration(pace: Pace, route: string, milliseconds: number): void {
-	const known = pace.durations.get(route);
-	const mean =
-		known === undefined ? milliseconds : known + (milliseconds - known) * durationWeight;
-	pace.durations.set(route, mean);
+export function learnDuration(
+	pace: Pace,
+	route: string,
+	milliseconds: number,
+	slowdown: number,
+): void {
+	const usual = milliseconds / slowdown;
+	const known = pace.durations.get(route) ?? usual;
+	pace.durations.set(route, known + (usual - known) * durationWeight);
 	pace.meanDuration ??= milliseconds;
 	pace.meanDuration += (milliseconds - pace.meanDuration) * durationWeight;
 }
@@ -61,12 +79,42 @@
  * Takes over the speed that the server reports.
  *
  * @param pace changed in place
- * @param slowdown time that work takes, in proportion to the usual
+ * @param slowdown time that work takes, in proportion to the usual; undefined when the server
+ *   answered without saying
  * @param now monotonic time in milliseconds
  */
-export function reportSlowdown(pace: Pace, slowdown: number, now: number): void {
-	pace.slowdown = slowdown;
+export function reportSlowdown(
+	pace: Pace,
+	slowdown: number | undefined,
+	now: number,
+): void {
+	pace.reportsSpeed = slowdown !== undefined;
+	pace.slowdown = slowdown ?? usualSpeed;
 	pace.reportedAt = now;
+	pace.slowSince = pace.slowdown < slowFrom ? undefined : (pace.slowSince ?? now);
+}
+
+/**
+ * Reckons with the usual speed for now, since the server could not be asked.
+ *
+ * @param pace changed in place
+ * @param now monotonic time in milliseconds
+ */
+export function assumeUsualSpeed(pace: Pace, now: number): void {
+	pace.slowdown = usualSpeed;
+	pace.reportedAt = now;
+	pace.slowSince = undefined;
+}
+
+/**
+ * Tells whether the speed has to be asked for before work may start.
+ *
+ * @param pace what is known of the server
+ * @param now monotonic time in milliseconds
+ * @returns whether the last report is too old
+ */
+export function isSpeedStale(pace: Pace, now: number): boolean {
+	return pace.reportsSpeed !== false && now - pace.reportedAt > freshMilliseconds;
 }
 
 /**
@@ -74,14 +122,70 @@
  *
  * @param pace what is known of the server
  * @param now monotonic time in milliseconds
- * @returns the last report while it counts, otherwise the usual speed
+ * @returns the last report while a slow piece may last, otherwise the usual speed
  */
 export function currentSlowdown(pace: Pace, now: number): number {
-	return now - pace.reportedAt <= reportLifetimeMilliseconds ? pace.slowdown : usualSpeed;
+	return now - pace.reportedAt <= pieceMilliseconds ? pace.slowdown : usualSpeed;
+}
+
+/**
+ * Tells whether work is better held back than started: it would be slow to its end, and the slow
+ * piece is likely over sooner than what it would add.
+ *
+ * @param pace what is known of the server
+ * @param usualMilliseconds duration of the work at usual speed
+ * @param now monotonic time in milliseconds
+ * @returns whether to hold it
+ */
+export function isWorthHolding(
+	pace: Pace,
+	usualMilliseconds: number,
+	now: number,
+): boolean {
+	if (pace.slowSince === undefined || now - pace.slowSince > steadyMilliseconds) {
+		return false;
+	}
+
+	const added = usualMilliseconds * (currentSlowdown(pace, now) - usualSpeed);
+	return added > expectedHold();
+}
+
+/**
+ * Estimates for how long work would be held back.
+ *
+ * @param pace what is known of the server
+ * @param usualMilliseconds duration of the work at usual speed
+ * @param now monotonic time in milliseconds
+ * @returns milliseconds; zero when it would not be held
+ */
+export function estimateHold(
+	pace: Pace,
+	usualMilliseconds: number,
+	now: number,
+): number {
+	return isWorthHolding(pace, usualMilliseconds, now) ? expectedHold() : 0;
 }
 
 /**
- * Estimates how long the server takes for work that starts now.
+ * Estimates how long the server takes for work once it has started.
+ *
+ * @param pace what is known of the server
+ * @param usualMilliseconds duration of the work at usual speed
+ * @param now monotonic time in milliseconds
+ * @returns milliseconds
+ */
+export function estimateDuration(
+	pace: Pace,
+	usualMilliseconds: number,
+	now: number,
+): number {
+	return isWorthHolding(pace, usualMilliseconds, now)
+		? usualMilliseconds
+		: usualMilliseconds * currentSlowdown(pace, now);
+}
+
+/**
+ * Estimates the duration of a route's work at usual speed.
  *
  * @param pace what is known of the server
  * @param route name of the route
@@ -89,21 +193,17 @@
  * @param now monotonic time in milliseconds
  * @returns milliseconds
  */
-export function estimateDuration(
+export function estimateUsual(
 	pace: Pace,
 	route: string,
 	targetMilliseconds: number,
 	now: number,
 ): number {
 	const mean = pace.durations.get(route) ?? targetMilliseconds * unseenTargetShare;
-	const cold = now < pace.coldUntil ? coldFactor : 1;
-	return mean * cold + estimateSlowPiece(pace, now);
+	return now < pace.coldUntil ? mean * coldFactor : mean;
 }
 
-/** What the rest of a slow piece adds: on average half of it is over, at the reported speed. */
-function estimateSlowPiece(pace: Pace, now: number): number {
-	const slowdown = currentSlowdown(pace, now);
-	return slowdown > usualSpeed
-		? (reportLifetimeMilliseconds / 2) * (1 - usualSpeed / slowdown)
-		: 0;
+/** On average half of a slow piece is over when it is seen. */
+function expectedHold(): number {
+	return pieceMilliseconds / 2;
 }
--- a/src/waiting/queue.ts
+++ b/src/waiting/queue.ts
@@ -17,6 +17,10 @@
 	createPace,
 	currentSlowdown,
 	estimateDuration,
+	estimateHold,
+	estimateUsual,
+	isSpeedStale,
+	isWorthHolding,
 	learnDuration,
 	type Pace,
 } from './pace.js';
@@ -48,7 +52,7 @@
 };
 
 export const offerOutcomes = {
-	started: 'started',
+	/** It waits; `takeTurns` tells when it starts. */
 	queued: 'queued',
 	/** No answer would come in time. */
 	tooLate: 'too-late',
@@ -63,11 +67,15 @@
 	readonly durationMilliseconds: number;
 };
 
-/** What follows when a slot comes free. */
+/** What follows when a slot comes free, or when the server has reported its speed. */
 export type Turn = {
 	readonly started: readonly string[];
 	/** Waiting requests that no longer have time. */
 	readonly late: readonly string[];
+	/** Whether work waits only for a fresh report of the server's speed. */
+	readonly wantsReport: boolean;
+	/** Whether work is held back until the server is faster. */
+	readonly holds: boolean;
 };
 
 /** How a request ended at the server. */
@@ -97,22 +105,18 @@
  * @param state changed in place
  * @param work the request
  * @param now monotonic time in milliseconds
- * @returns whether it starts now, waits or is refused
+ * @returns whether it waits for its turn or is refused
  */
 export function offerWork(state: QueueState, work: Work, now: number): Offer {
 	const durationMilliseconds = estimateWork(state, work, now);
-	const waitMilliseconds = estimateWait(state, work);
+	const waitMilliseconds = estimateWait(state, work, now);
 	const estimates = {waitMilliseconds, durationMilliseconds};
-	const finishAt = now + waitMilliseconds + durationMilliseconds * smallestFit;
+	const usual = estimateUsualOf(state, work, now);
+	const finishAt = now + waitMilliseconds + usual * smallestFit;
 	if (finishAt > work.deadlineAt) {
 		return {outcome: offerOutcomes.tooLate, ...estimates};
 	}
 
-	if (waitMilliseconds === 0) {
-		start(state, work, now);
-		return {outcome: offerOutcomes.started, ...estimates};
-	}
-
 	state.waiting.set(work.id, work);
 	return {outcome: offerOutcomes.queued, ...estimates};
 }
@@ -171,9 +175,15 @@
 	state.limit = chooseLimit(state.concurrency, state.slots, now);
 	const late = dropLate(state, now);
 	const started: string[] = [];
-	while (state.running.size < state.limit) {
+	let holds = false;
+	while (state.running.size < state.limit && state.waiting.size > 0) {
+		if (isSpeedStale(state.pace, now)) {
+			return {started, late, wantsReport: true, holds};
+		}
+
 		const next = findNext(state, now);
 		if (next === undefined) {
+			holds = true;
 			break;
 		}
 
@@ -182,17 +192,28 @@
 		started.push(next.id);
 	}
 
-	return {started, late};
+	return {started, late, wantsReport: false, holds};
 }
 
 /**
- * Estimates how long a request would wait for a slot if it came now.
+ * Estimates how long a request would wait if it came now: for a slot, or held back in a slow
+ * piece of the server.
  *
  * @param state the gate's queue
- * @param work its rank, and whether it is the call of a running request
+ * @param work the request
+ * @param now monotonic time in milliseconds
  * @returns milliseconds; zero when it would start at once
  */
 export function estimateWait(
+	state: QueueState,
+	work: Pick<Work, 'rank' | 'nested' | 'route' | 'targetMilliseconds'>,
+	now: number,
+): number {
+	const hold = estimateHold(state.pace, estimateUsualOf(state, work, now), now);
+	return Math.max(hold, estimateSlotWait(state, work));
+}
+
+function estimateSlotWait(
 	state: QueueState,
 	work: Pick<Work, 'rank' | 'nested'>,
 ): number {
@@ -216,7 +237,7 @@
 }
 
 /**
- * Estimates how long the server takes for a request that starts now.
+ * Estimates how long the server takes for a request that has its slot.
  *
  * @param state the gate's queue
  * @param work the request
@@ -228,7 +249,15 @@
 	work: Pick<Work, 'route' | 'targetMilliseconds'>,
 	now: number,
 ): number {
-	return estimateDuration(state.pace, work.route, work.targetMilliseconds, now);
+	return estimateDuration(state.pace, estimateUsualOf(state, work, now), now);
+}
+
+function estimateUsualOf(
+	state: QueueState,
+	work: Pick<Work, 'route' | 'targetMilliseconds'>,
+	now: number,
+): number {
+	return estimateUsual(state.pace, work.route, work.targetMilliseconds, now);
 }
 
 function start(state: QueueState, work: Work, now: number): void {
@@ -243,11 +272,11 @@
 function learn(state: QueueState, ended: RunningWork, now: number): void {
 	const duration = now - ended.startedAt;
 	const {route} = ended.work;
-	learnDuration(state.pace, route, duration);
+	learnDuration(state.pace, route, duration, ended.slowdownAtStart);
 	const sample = {
 		route,
 		duration,
-		slowdown: (ended.slowdownAtStart + currentSlowdown(state.pace, now)) / 2,
+		slowdown: ended.slowdownAtStart,
 		running: (ended.runningAtStart + state.running.size) / 2,
 	};
 	learnStretch(state.concurrency, sample, state.slots, now);
@@ -256,7 +285,7 @@
 function dropLate(state: QueueState, now: number): string[] {
 	const late: string[] = [];
 	for (const work of state.waiting.values()) {
-		if (now + estimateWork(state, work, now) * smallestFit > work.deadlineAt) {
+		if (now + estimateUsualOf(state, work, now) * smallestFit > work.deadlineAt) {
 			state.waiting.delete(work.id);
 			late.push(work.id);
 		}
@@ -265,11 +294,16 @@
 	return late;
 }
 
+/** The first request in order that is not better held back. */
 function findNext(state: QueueState, now: number): Work | undefined {
 	const isOnTime = (work: Work): boolean =>
 		now + estimateWork(state, work, now) <= work.targetAt;
 	let next: Work | undefined;
 	for (const work of state.waiting.values()) {
+		if (isWorthHolding(state.pace, estimateUsualOf(state, work, now), now)) {
+			continue;
+		}
+
 		if (next === undefined || compareWork(work, next, isOnTime) < 0) {
 			next = work;
 		}
