--- a/src/announcement/server-record.ts
+++ b/src/announcement/server-record.ts
@@ -80,9 +80,7 @@
 	const heldStart = held.startedAt ?? 0;
 	const start = announcement.startedAt ?? heldStart;
 	if (start !== heldStart) {
-		return start > heldStart
-			? announcementVerdicts.taken
-			: announcementVerdicts.outdated;
+		return start > heldStart ? announcementVerdicts.taken : announcementVerdicts.outdated;
 	}
 
 	if (held.id !== announcement.id) {
--- a/src/configuration/acceptance.ts
+++ b/src/configuration/acceptance.ts
@@ -5,12 +5,7 @@
  */
 import {setTimeout as wait} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
-import type {
-	TableClient,
-	TableError,
-	TableRow,
-	WriteCondition,
-} from '../table/index.js';
+import type {TableClient, TableError, TableRow, WriteCondition} from '../table/index.js';
 import {
 	changeErrorKinds,
 	createChangeConflict,
--- a/src/placing/place.ts
+++ b/src/placing/place.ts
@@ -102,8 +102,7 @@
  */
 export function isGoodEnough({report, value}: RatedCandidate): boolean {
 	return (
-		report !== undefined &&
-		report.waitMilliseconds === 0 &&
+		report?.waitMilliseconds === 0 &&
 		report.failureShare < negligibleFailures &&
 		value >= goodValue
 	);
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -3,7 +3,12 @@
  * server's whole answer or a refusal that says truthfully whether the request ran. It owns the
  * callers' connections and the calls in flight on them.
  */
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
 import {
 	attemptResultKinds,
 	copyEndToEndHeaders,
@@ -204,7 +209,7 @@
 
 		if (result.kind === attemptResultKinds.answered) {
 			const bytes = isWhole(result.body) ? result.body.length : 0;
-			note(call, result.status, outcomes.ran, bytes);
+			note(call, {status: result.status, outcome: outcomes.ran, bytes});
 			writeAnswer(response, result);
 			return;
 		}
@@ -215,25 +220,23 @@
 			result.kind === attemptResultKinds.refused
 				? result.refusal
 				: createRefusal(refusalKinds.serverFailed, result.message);
-		note(call, dialect.statusOf(refusal, outcome), outcome, 0, refusal);
+		note(call, {status: dialect.statusOf(refusal, outcome), outcome, bytes: 0}, refusal);
 		write(response, head, refusal, outcome);
 	}
 
 	function note(
 		call: RelayCall,
-		status: number,
-		outcome: Outcome,
-		bytes: number,
+		end: Pick<CallEnd, 'status' | 'outcome' | 'bytes'>,
 		refusal?: Refusal,
 	): void {
 		const milliseconds = now() - call.arrivedAt;
 		log.info('call answered', {
-			...describeEnd(call, status, outcome),
+			...describeEnd(call, end.status, end.outcome),
 			refusal: refusal?.kind,
 			reason: refusal?.message,
 			retryAfterMilliseconds: refusal?.retryAfterMilliseconds,
 		});
-		options.onEnd({route: call.route, status, milliseconds, outcome, bytes});
+		options.onEnd({...end, route: call.route, milliseconds});
 	}
 
 	function describeEnd(call: RelayCall, status: number, outcome: Outcome) {
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -90,7 +90,11 @@
 	/** A number from 0 to below 1. */
 	readonly random: () => number;
 	/** Address and service of the server beside the node. */
-	readonly server: {readonly host: string; readonly port: number; readonly service: string};
+	readonly server: {
+		readonly host: string;
+		readonly port: number;
+		readonly service: string;
+	};
 	readonly maximumConnections: number;
 	/** Health path of the service; undefined while no routes are known. */
 	readonly healthPath: () => string | undefined;
@@ -174,9 +178,7 @@
 	let pumpTimer: NodeJS.Timeout | undefined;
 
 	function isAccepting(): boolean {
-		return (
-			record?.state === serverStates.ready && !leaving && now() >= unreachableUntil
-		);
+		return record?.state === serverStates.ready && !leaving && now() >= unreachableUntil;
 	}
 
 	function refuse(entry: Entry, refusal: Refusal, why: Record<string, unknown>): void {
@@ -197,7 +199,10 @@
 		if (admission !== admissions.admitted) {
 			// A second copy of an attempt tells nothing of the first, which decides.
 			log.warn('gate dropped an attempt', {...describe(entry), admission});
-			entry.settle({kind: attemptResultKinds.lost, message: `not admitted: ${admission}`});
+			entry.settle({
+				kind: attemptResultKinds.lost,
+				message: `not admitted: ${admission}`,
+			});
 			return;
 		}
 
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -1,11 +1,6 @@
 /** Public surface of the relay: a node that serves routes on a platform. */
 export type {Adapter, AnnouncementSink} from './adapter.js';
-export type {
-	CallerHead,
-	Dialect,
-	ServerAnswerFacts,
-	ServerHead,
-} from './dialect.js';
+export type {CallerHead, Dialect, ServerAnswerFacts, ServerHead} from './dialect.js';
 export {startRelay, type RelayStartError, type RunningRelay} from './relay.js';
 export {
 	routeSourceErrors,
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -22,7 +22,9 @@
 	readonly dump: () => unknown;
 };
 
-const bucketsMilliseconds = [5, 10, 25, 50, 100, 150, 200, 300, 400, 600, 800, 1200, 2500];
+const bucketsMilliseconds = [
+	5, 10, 25, 50, 100, 150, 200, 300, 400, 600, 800, 1200, 2500,
+];
 const statePath = '/state';
 
 /**
@@ -73,7 +75,11 @@
 	const gauges: ReadonlyArray<readonly [string, string, () => number]> = [
 		['foxtailtide_running', 'Requests at the own server.', () => sources.gate().running],
 		['foxtailtide_waiting', 'Requests that wait for it.', () => sources.gate().waiting],
-		['foxtailtide_limit', 'Requests that it may run at once.', () => sources.gate().limit],
+		[
+			'foxtailtide_limit',
+			'Requests that it may run at once.',
+			() => sources.gate().limit,
+		],
 		['foxtailtide_routes_version', 'Version in force.', sources.routesVersion],
 		['foxtailtide_members', 'Nodes that are held alive.', sources.members],
 		['foxtailtide_log_lines_dropped', 'Log lines dropped.', sources.droppedLines],
--- a/src/relay/next-step.ts
+++ b/src/relay/next-step.ts
@@ -90,7 +90,9 @@
 	}
 
 	if (result.kind === attemptResultKinds.lost || result.outcome !== outcomes.notRun) {
-		return progress.idempotent && mayRepeat(progress) ? relaySteps.repeat : relaySteps.end;
+		return progress.idempotent && mayRepeat(progress)
+			? relaySteps.repeat
+			: relaySteps.end;
 	}
 
 	if (result.refusal.kind === refusalKinds.serverFailed) {
--- a/src/relay/peer-listener.ts
+++ b/src/relay/peer-listener.ts
@@ -2,7 +2,12 @@
  * The listener for other nodes: attempts for this node's gate, and the routes in force for a node
  * that is behind. It says at once that it has an attempt, so that a silent connection shows.
  */
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
 import type {RunningAttempt} from '../call/index.js';
 import {refuseStranger, writeResult} from '../http/index.js';
 import type {RelayAttempt} from './call.js';
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -80,14 +80,17 @@
 			return readPeerResult(result);
 		});
 		const silent = new Promise<AttemptResult>(resolve => {
-			watch.timer = setTimeout(() => {
-				void withdraw(member, attempt, roundTripMilliseconds).then(result => {
-					if (result) {
-						exchange.cancel();
-						resolve(result);
-					}
-				});
-			}, receiptMilliseconds + 2 * roundTripMilliseconds);
+			watch.timer = setTimeout(
+				() => {
+					void withdraw(member, attempt, roundTripMilliseconds).then(result => {
+						if (result) {
+							exchange.cancel();
+							resolve(result);
+						}
+					});
+				},
+				receiptMilliseconds + 2 * roundTripMilliseconds,
+			);
 		});
 		return {result: Promise.race([received, silent]), cancel: exchange.cancel};
 	}
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -169,9 +169,9 @@
 		async rank(call, excluded) {
 			const members = options
 				.membersOf(call.service)
-				.filter(({nodeId, status}) => {
-					return !excluded.has(nodeId) && status === memberStatuses.alive;
-				});
+				.filter(
+					({nodeId, status}) => !excluded.has(nodeId) && status === memberStatuses.alive,
+				);
 			const question: LoadQuestion = {
 				route: call.route,
 				rank: call.rank,
@@ -206,10 +206,7 @@
 
 			const rated = rate(near);
 			const placement = describePlacement(call, options, now());
-			if (
-				far.length === 0 ||
-				!isFartherWorthAsking(rated[0], placement, options.costs)
-			) {
+			if (far.length === 0 || !isFartherWorthAsking(rated[0], placement, options.costs)) {
 				return rated;
 			}
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -42,7 +42,8 @@
 };
 
 /** Why a relay did not start. */
-export type RelayStartError = MembershipError | {readonly kind: 'listen-failed'; readonly message: string};
+export type RelayStartError =
+	MembershipError | {readonly kind: 'listen-failed'; readonly message: string};
 
 /** A few nodes of each domain look for lost members often: restarts are frequent. */
 const reconnectIntervalMilliseconds = 1000;
@@ -96,7 +97,10 @@
 			}),
 		);
 		log.info('node started', {incarnation, members: membership.all().length});
-		return {stop: async () => stopRelay(settings, parts, membership, log), dump: parts.dump};
+		return {
+			stop: async () => stopRelay(settings, parts, membership, log),
+			dump: parts.dump,
+		};
 	});
 }
 
@@ -328,7 +332,7 @@
 		[parts.peerListener, own(listeners.peer)],
 		[parts.metrics.listener, own(listeners.metrics)],
 	];
-	return Effect.forEach(bindings, ([server, {host, port}]) =>
+	const binding = bindings.map(([server, {host, port}]) =>
 		Effect.tryPromise({
 			try: async () => bind(server, host, port),
 			catch: (error): RelayStartError => ({
@@ -337,6 +341,7 @@
 			}),
 		}),
 	);
+	return Effect.all(binding);
 }
 
 async function bind(server: Server, host: string, port: number): Promise<Server> {
@@ -393,6 +398,7 @@
 	log.info('node stopped', {
 		inFlight: left,
 		milliseconds: Math.round(now() - startedAt),
-		members: membership.all().filter(({status}) => status === memberStatuses.alive).length,
+		members: membership.all().filter(({status}) => status === memberStatuses.alive)
+			.length,
 	});
 }
--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -3,6 +3,7 @@
  * with one long question at a time, and takes them from another node when the gossip tells of a
  * version that has not come. A node whose table is away so learns of changes from the others.
  */
+import {Buffer} from 'node:buffer';
 import {request as sendRequest} from 'node:http';
 import type {Result} from 'neverthrow';
 import {collectWhole} from '../http/index.js';
@@ -73,7 +74,7 @@
  */
 export function followRoutes(options: RoutesFollowerOptions): RoutesFollower {
 	const {source, holder, membership, log, random} = options;
-	let closed = false;
+	const life = {isClosed: false};
 	let isLost = false;
 	let failures = 0;
 	let isCatchingUp = false;
@@ -102,7 +103,7 @@
 	}
 
 	async function readPosition(): Promise<number | undefined> {
-		while (!closed) {
+		while (!life.isClosed) {
 			const reading = await source.read();
 			if (reading.isOk()) {
 				noteAnswer();
@@ -118,7 +119,7 @@
 
 	async function follow(): Promise<void> {
 		let position = await readPosition();
-		while (!closed && position !== undefined) {
+		while (!life.isClosed && position !== undefined) {
 			const change = await source.awaitChange(position, waitMilliseconds);
 			if (change.isOk()) {
 				noteAnswer();
@@ -156,7 +157,7 @@
 		isCatchingUp = true;
 		await sleep(gossipHeadStartMilliseconds);
 		for (const member of listHolders(membership, from).slice(0, peerTries)) {
-			if (closed || !isBehind()) {
+			if (life.isClosed || !isBehind()) {
 				break;
 			}
 
@@ -180,7 +181,7 @@
 	void follow();
 	return {
 		close() {
-			closed = true;
+			life.isClosed = true;
 		},
 	};
 }
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -79,7 +79,10 @@
 export type ServerClient = {
 	readonly start: (target: ServerTarget, call: RelayCall) => RunningServerExchange;
 	/** Asks the server's health path; undefined when it does not answer in time. */
-	readonly probe: (target: ServerTarget, path: string) => Promise<ServerHealth | undefined>;
+	readonly probe: (
+		target: ServerTarget,
+		path: string,
+	) => Promise<ServerHealth | undefined>;
 	/** Kept connections belong to a life of the server that has ended. */
 	readonly forgetConnections: () => void;
 	readonly close: () => void;
@@ -106,16 +109,16 @@
 	let distrustUntil = Number.NEGATIVE_INFINITY;
 
 	function start(target: ServerTarget, call: RelayCall): RunningServerExchange {
-		let cancelled = false;
+		const progress = {isCancelled: false};
 		let running = send(target, call);
 		const cancel = (): void => {
-			cancelled = true;
+			progress.isCancelled = true;
 			running.cancel();
 		};
 
 		const follow = async (): Promise<ServerResult> => {
 			let result = await running.result;
-			for (let tries = 1; tries < unsentTries && !cancelled; tries += 1) {
+			for (let tries = 1; tries < unsentTries && !progress.isCancelled; tries += 1) {
 				if (result.kind !== exchangeKinds.unsent || !isStale(result.message)) {
 					break;
 				}
@@ -213,11 +216,10 @@
 		forgetConnections() {
 			const previous = kept;
 			kept = createKeptAgent(options);
-			previous.keepSocketAlive = () => false;
-			for (const sockets of Object.values(previous.freeSockets)) {
-				for (const socket of sockets ?? []) {
-					socket.destroy();
-				}
+			// What still runs on the old connections ends there; none is used again.
+			previous.maxFreeSockets = 0;
+			for (const socket of Object.values(previous.freeSockets).flat()) {
+				socket?.destroy();
 			}
 		},
 		close() {
@@ -266,7 +268,10 @@
 
 	if (facts.declaredNotRun) {
 		const reason = `the server shed the request with status ${answer.status}`;
-		const result = createNotRun(refusalKinds.serverFailed, `${reason}: try again shortly`);
+		const result = createNotRun(
+			refusalKinds.serverFailed,
+			`${reason}: try again shortly`,
+		);
 		return {end: serverEnds.shed, result, facts, reason};
 	}
 
--- a/src/repeats/repeat-budget.ts
+++ b/src/repeats/repeat-budget.ts
@@ -68,8 +68,7 @@
 ): boolean {
 	forget(budget, now - policy.windowMilliseconds);
 	const allowed =
-		usedShare *
-		(policy.ratio * budget.firsts.length + policy.slack / Math.max(1, gates));
+		usedShare * (policy.ratio * budget.firsts.length + policy.slack / Math.max(1, gates));
 	if (budget.repeats.length + 1 > allowed) {
 		return false;
 	}
--- a/src/waiting/concurrency.ts
+++ b/src/waiting/concurrency.ts
@@ -21,6 +21,9 @@
 /** The limit never falls below this share of the slots. */
 const smallestLimitShare = 0.5;
 
+/** Stretch of work that nothing disturbs. */
+const undisturbedStretch = 1;
+
 type Level = {
 	/** Duration in proportion to the undisturbed one. */
 	stretch: number;
@@ -43,7 +46,7 @@
 	readonly duration: number;
 	/** Slowdown that the server reported meanwhile. */
 	readonly slowdown: number;
-	/** Requests that ran beside it, itself included, as a mean over its run. */
+	/** Requests that ran when it started, itself included. */
 	readonly running: number;
 };
 
@@ -78,7 +81,7 @@
 		return;
 	}
 
-	const running = Math.round(sample.running);
+	const {running} = sample;
 	const level = state.levels.get(running) ?? {stretch: 1, samples: 0, lastAt: now};
 	level.stretch += (duration / usual - level.stretch) * stretchWeight;
 	level.samples += 1;
@@ -87,7 +90,8 @@
 }
 
 /**
- * Chooses how many requests may run at once.
+ * Chooses how many requests may run at once. A lower number that was not seen yet is tried when
+ * it would be better if nothing disturbed its work.
  *
  * @param state what was learned
  * @param slots requests that the server announced to run at once
@@ -105,10 +109,17 @@
 	let highest = (slots / full) * smallestGain;
 	for (let running = slots - 1; running >= smallest; running -= 1) {
 		const stretch = findStretch(state, running, now);
-		if (stretch !== undefined && running / stretch > highest) {
-			limit = running;
-			highest = running / stretch;
+		const rate = running / (stretch ?? undisturbedStretch);
+		if (rate <= highest) {
+			continue;
+		}
+
+		if (stretch === undefined) {
+			return running;
 		}
+
+		limit = running;
+		highest = rate;
 	}
 
 	return limit;
@@ -124,5 +135,5 @@
 		level !== undefined &&
 		level.samples >= smallestSample &&
 		now - level.lastAt < retrialMilliseconds;
-	return isKnown ? Math.max(1, level.stretch) : undefined;
+	return isKnown ? Math.max(undisturbedStretch, level.stretch) : undefined;
 }
--- a/src/waiting/index.ts
+++ b/src/waiting/index.ts
@@ -1,10 +1,5 @@
 /** Public surface of waiting: which request starts, waits, yields or is refused at a gate. */
-export {
-	assumeUsualSpeed,
-	currentSlowdown,
-	isSpeedStale,
-	reportSlowdown,
-} from './pace.js';
+export {assumeUsualSpeed, currentSlowdown, isSpeedStale, reportSlowdown} from './pace.js';
 export {
 	changeSlots,
 	createQueue,
--- a/src/waiting/pace.ts
+++ b/src/waiting/pace.ts
@@ -158,11 +158,7 @@
  * @param now monotonic time in milliseconds
  * @returns milliseconds; zero when it would not be held
  */
-export function estimateHold(
-	pace: Pace,
-	usualMilliseconds: number,
-	now: number,
-): number {
+export function estimateHold(pace: Pace, usualMilliseconds: number, now: number): number {
 	return isWorthHolding(pace, usualMilliseconds, now) ? expectedHold() : 0;
 }
 
--- a/src/waiting/queue.ts
+++ b/src/waiting/queue.ts
@@ -277,7 +277,7 @@
 		route,
 		duration,
 		slowdown: ended.slowdownAtStart,
-		running: (ended.runningAtStart + state.running.size) / 2,
+		running: ended.runningAtStart,
 	};
 	learnStretch(state.concurrency, sample, state.slots, now);
 }
--- /dev/null
+++ b/test/repeats/repeat-budget.test.ts
@@ -0,0 +1,43 @@
+/** The bound on repeats holds over all gates of a service without any of them asking another. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {createRandom} from '../../src/load/random.js';
+import {
+	countFirst,
+	createRepeatBudget,
+	trySpendRepeat,
+	type RepeatPolicy,
+} from '../../src/repeats/index.js';
+
+const seed = 20_261_204;
+const policy: RepeatPolicy = {ratio: 0.2, slack: 58, windowMilliseconds: 10_000};
+
+test('every window keeps to the bound while all gates fail half of their requests', () => {
+	const random = createRandom(seed);
+	const gates = Array.from({length: 6}, createRepeatBudget);
+	const firsts: number[] = [];
+	const repeats: number[] = [];
+	for (let now = 0; now < 60_000; now += 20) {
+		const gate = gates[Math.floor(random() * gates.length)]!;
+		firsts.push(now);
+		countFirst(gate, policy, now);
+		const other = gates[Math.floor(random() * gates.length)]!;
+		if (random() < 0.5 && trySpendRepeat(other, policy, gates.length, now)) {
+			repeats.push(now);
+		}
+	}
+
+	for (let start = 0; start < 50_000; start += 500) {
+		const within = (time: number): boolean => time >= start && time < start + 10_000;
+		const allowed =
+			policy.ratio * firsts.filter(time => within(time)).length + policy.slack;
+		expect(repeats.filter(time => within(time)).length).toBeLessThanOrEqual(allowed);
+	}
+
+	expect(repeats.length).toBeGreaterThan(100);
+});
+
+test('a quiet gate may still repeat a little', () => {
+	const budget = createRepeatBudget();
+	expect(trySpendRepeat(budget, policy, 6, 0)).toEqual(true);
+});
--- /dev/null
+++ b/test/waiting/simulated-server.ts
@@ -0,0 +1,190 @@
+/**
+ * A server on a noisy VM in simulated time, driven by the gate's own decisions: it has slots, a
+ * knee near full, and slow pieces in which work that starts is slow to its end.
+ */
+import {
+	assumeUsualSpeed,
+	createQueue,
+	endWork,
+	offerOutcomes,
+	offerWork,
+	reportSlowdown,
+	takeTurns,
+	type QueueState,
+	type Turn,
+	type Work,
+} from '../../src/waiting/index.js';
+
+export type ServerModel = {
+	readonly slots: number;
+	/** Running requests above which work is slower. */
+	readonly knee: number;
+	readonly kneeFactor: number;
+	/** Share of the pieces that are slow. */
+	readonly slowShare: number;
+	readonly slowFactor: number;
+	readonly pieceMilliseconds: number;
+	/** Whether the gate is told the speed. */
+	readonly tellsSpeed: boolean;
+};
+
+export const calmModel: ServerModel = {
+	slots: 9,
+	knee: 9,
+	kneeFactor: 1,
+	slowShare: 0,
+	slowFactor: 1,
+	pieceMilliseconds: 150,
+	tellsSpeed: true,
+};
+
+export type Arrival = {
+	readonly at: number;
+	readonly work: Work;
+	/** Duration at usual speed, in milliseconds. */
+	readonly duration: number;
+};
+
+/** How each request ended. */
+export type SimulatedEnd = {
+	readonly work: Work;
+	readonly end: 'answered' | 'refused';
+	readonly at: number;
+};
+
+type Event = {readonly at: number; readonly run: () => void};
+
+/** Plays arrivals against a server, and tells how each request ended. */
+export function simulate(
+	model: ServerModel,
+	arrivals: readonly Arrival[],
+	random: () => number,
+): {readonly ends: SimulatedEnd[]; readonly state: QueueState} {
+	const state = createQueue(model.slots);
+	const ends: SimulatedEnd[] = [];
+	const events: Event[] = [];
+	const durations = new Map<string, Arrival>();
+	const pieces: boolean[] = [];
+	const clock = {now: 0};
+	let isProbing = false;
+	let isPumpDue = false;
+
+	const schedule = (at: number, run: () => void): void => {
+		const index = events.findIndex(event => event.at > at);
+		events.splice(index === -1 ? events.length : index, 0, {at, run});
+	};
+
+	const slowdownAt = (time: number): number => {
+		const piece = Math.floor(time / model.pieceMilliseconds);
+		while (pieces.length <= piece) {
+			pieces.push(random() < model.slowShare);
+		}
+
+		return pieces[piece] ? model.slowFactor : 1;
+	};
+
+	const pump = (): void => {
+		const turn = takeTurns(state, clock.now);
+		follow(turn);
+		if (turn.wantsReport && !isProbing) {
+			isProbing = true;
+			schedule(clock.now + 1, () => {
+				isProbing = false;
+				report();
+				pump();
+			});
+		} else if (state.waiting.size > 0 && !isPumpDue) {
+			isPumpDue = true;
+			schedule(clock.now + 15, () => {
+				isPumpDue = false;
+				pump();
+			});
+		}
+	};
+
+	const report = (): void => {
+		if (model.tellsSpeed) {
+			reportSlowdown(state.pace, slowdownAt(clock.now), clock.now);
+		} else {
+			assumeUsualSpeed(state.pace, clock.now);
+		}
+	};
+
+	const follow = (turn: Turn): void => {
+		for (const id of turn.late) {
+			ends.push({work: durations.get(id)!.work, end: 'refused', at: clock.now});
+		}
+
+		for (const id of turn.started) {
+			const {work, duration} = durations.get(id)!;
+			const knee = state.running.size > model.knee ? model.kneeFactor : 1;
+			schedule(clock.now + duration * slowdownAt(clock.now) * knee, () => {
+				follow(endWork(state, id, {whole: true}, clock.now));
+				ends.push({work, end: 'answered', at: clock.now});
+				pump();
+			});
+		}
+	};
+
+	for (const arrival of arrivals) {
+		schedule(arrival.at, () => {
+			durations.set(arrival.work.id, arrival);
+			if (offerWork(state, arrival.work, clock.now).outcome === offerOutcomes.tooLate) {
+				ends.push({work: arrival.work, end: 'refused', at: clock.now});
+				return;
+			}
+
+			pump();
+		});
+	}
+
+	for (let event = events.shift(); event; event = events.shift()) {
+		clock.now = event.at;
+		event.run();
+	}
+
+	return {ends, state};
+}
+
+/** Share of the requests that were answered within their target. */
+export function countOnTime(ends: readonly SimulatedEnd[]): number {
+	const onTime = ends.filter(
+		({work, end, at}) => end === 'answered' && at <= work.targetAt,
+	);
+	return onTime.length / ends.length;
+}
+
+/** Creates a request that arrives at a time. */
+export function createWork(id: string, at: number, patch: Partial<Work> = {}): Work {
+	const targetMilliseconds = patch.targetMilliseconds ?? 400;
+	return {
+		id,
+		rank: 1,
+		route: 'search',
+		nested: false,
+		arrivedAt: at,
+		targetMilliseconds,
+		targetAt: at + targetMilliseconds,
+		deadlineAt: at + 1000,
+		...patch,
+	};
+}
+
+/** Arrivals of one kind at random moments. */
+export function createPoisson(
+	perSecond: number,
+	milliseconds: number,
+	random: () => number,
+	create: (id: string, at: number) => {work: Work; duration: number},
+): Arrival[] {
+	const arrivals: Arrival[] = [];
+	let at = 0;
+	for (let index = 0; ; index += 1) {
+		at += (-Math.log(1 - random()) * 1000) / perSecond;
+		if (at > milliseconds) {
+			return arrivals;
+		}
+
+		arrivals.push({at, ...create(`${index}`, at)});
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -26,6 +26,13 @@
 			],
 		},
 	},
+	{
+		files: ['src/relay/**'],
+		rules: {
+			// The attempts of one call, and the questions to one table, follow each other.
+			'no-await-in-loop': 'off',
+		},
+	},
 	{
 		files: ['test/**', 'bench/**', 'stand-ins/**', 'scripts/**', 'demo/**'],
 		rules: {
