--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -28,6 +28,8 @@
 
 /** What a server's health path says. */
 export type ServerHealth = {
+	/** Whether it says that it is well and not leaving. */
+	readonly isWell: boolean;
 	/** Undefined when it does not say. */
 	readonly serverId: string | undefined;
 	/** Requests that it runs at once; undefined when it does not say. */
@@ -49,7 +51,7 @@
 	/** The caller's headers as the server gets them. */
 	readonly listServerHeaders: (headers: HeaderList, head: ServerHead) => string[];
 	readonly readServerAnswer: (status: number, headers: HeaderList) => ServerAnswerFacts;
-	readonly readServerHealth: (headers: HeaderList) => ServerHealth;
+	readonly readServerHealth: (status: number, headers: HeaderList) => ServerHealth;
 	/** Status of a refusal of the relay's own. */
 	readonly statusOf: (refusal: Refusal, outcome: Outcome) => number;
 	/** Headers of a refusal of the relay's own. */
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -66,7 +66,7 @@
 	type Work,
 } from '../waiting/index.js';
 import type {RelayAttempt} from './call.js';
-import type {Dialect} from './dialect.js';
+import type {Dialect, ServerHealth} from './dialect.js';
 import {
 	createServerClient,
 	serverEnds,
@@ -124,6 +124,8 @@
 	readonly report: (question: LoadQuestion) => Promise<GateReport>;
 	/** Cancels an attempt; true only if it never was and never will be handed over. */
 	readonly cancelAttempt: (id: AttemptId) => boolean;
+	/** Looks for the server by its health path, if it has not announced itself yet. */
+	readonly discover: () => void;
 	readonly announce: (announcement: ServerAnnouncement) => AnnouncementVerdict;
 	/** The server with this id says that it ends. */
 	readonly endServer: (id: string) => boolean;
@@ -151,6 +153,8 @@
 const sameDeadlineMilliseconds = 4;
 /** How long a server that takes no connection is left alone, in milliseconds. */
 const unreachableMilliseconds = 700;
+/** How long a server whose health path is silent is left alone, in milliseconds. */
+const silentMilliseconds = 300;
 /** The gate itself ends what its ingress has not ended by the deadline and this much more. */
 const deadlineGraceMilliseconds = 250;
 
@@ -288,16 +292,54 @@
 
 	async function probe(): Promise<void> {
 		const path = options.healthPath();
-		const mayProbe = path !== undefined && trySpendAmount(probes, 1, now());
-		const health = mayProbe
-			? await client.probe({id: record?.id, host: server.host, port: server.port}, path)
-			: undefined;
+		if (path === undefined || !trySpendAmount(probes, 1, now())) {
+			assumeUsualSpeed(queue.pace, now());
+			return;
+		}
+
+		const target = {id: record?.id, host: server.host, port: server.port};
+		const health = await client.probe(target, path);
 		if (health === undefined) {
 			assumeUsualSpeed(queue.pace, now());
+			noteUnreachable('the health path does not answer', silentMilliseconds);
 			return;
 		}
 
 		reportSlowdown(queue.pace, health.slowdown, now());
+		adopt(health);
+	}
+
+	/** A node that has just started knows its server by its health until it is announced. */
+	function adopt(health: ServerHealth): void {
+		const {serverId, slots, isWell} = health;
+		if (
+			record !== undefined ||
+			!isWell ||
+			serverId === undefined ||
+			slots === undefined
+		) {
+			return;
+		}
+
+		announce({
+			...place,
+			id: serverId,
+			slots,
+			state: serverStates.ready,
+			sequence: Number.NEGATIVE_INFINITY,
+			warmupMilliseconds: 0,
+			startedAt: undefined,
+		});
+	}
+
+	function noteUnreachable(reason: string, milliseconds: number): void {
+		if (now() >= unreachableUntil) {
+			log.warn('server unreachable', {server: record?.id, reason});
+		}
+
+		unreachableUntil = now() + milliseconds;
+		client.forgetConnections();
+		refuseWaiting(reason);
 	}
 
 	function describeTooLate(entry: Entry, decision: Offer): Refusal {
@@ -384,10 +426,7 @@
 
 		learnEnd(failures, result.end !== serverEnds.answered, present);
 		if (result.end === serverEnds.unreachable) {
-			unreachableUntil = present + unreachableMilliseconds;
-			client.forgetConnections();
-			log.warn('server unreachable', {server: record?.id, reason: result.reason});
-			refuseWaiting('the server takes no connection');
+			noteUnreachable(result.reason, unreachableMilliseconds);
 		}
 	}
 
@@ -541,6 +580,11 @@
 				cancellation === cancellations.withdrawn
 			);
 		},
+		discover() {
+			if (record === undefined) {
+				void refreshSpeed();
+			}
+		},
 		announce,
 		endServer(id) {
 			const ended = endRecord(record, id);
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -163,6 +163,7 @@
 		now,
 		onChange(version) {
 			membership?.publishVersion(routesTopic, version);
+			gate.discover();
 		},
 	});
 	const askingSocket = {
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -189,9 +189,17 @@
 	async function probe(
 		target: ServerTarget,
 		path: string,
+	): Promise<ServerHealth | undefined> {
+		return (await ask(kept, target, path)) ?? (await ask(fresh, target, path));
+	}
+
+	async function ask(
+		agent: Agent,
+		target: ServerTarget,
+		path: string,
 	): Promise<ServerHealth | undefined> {
 		const exchange = startExchange({
-			agent: kept,
+			agent,
 			host: target.host,
 			port: target.port,
 			method: 'GET',
@@ -206,7 +214,7 @@
 		const result = await exchange.result;
 		clearTimeout(timer);
 		return result.kind === exchangeKinds.answered
-			? dialect.readServerHealth(result.rawHeaders)
+			? dialect.readServerHealth(result.status, result.rawHeaders)
 			: undefined;
 	}
 
