--- a/src/administration/fields.ts
+++ b/src/administration/fields.ts
@@ -1,6 +1,6 @@
 /** Reads the fields of requests. */
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {chooseTeam} from './access.js';
 import type {AdministrationRequest} from './administration.js';
 import {
--- a/src/administration/node-routes.ts
+++ b/src/administration/node-routes.ts
@@ -1,6 +1,6 @@
 /** Routes of the node itself: health, members, state, drain, keys and metrics. */
 import {err, ok} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {roles} from './access.js';
 import type {Handler, Route} from './administration.js';
 import {administrationErrorKinds, createError} from './error.js';
--- a/src/call/refusal.ts
+++ b/src/call/refusal.ts
@@ -3,7 +3,7 @@
  * that names the remedy. A refusal says nothing of the outcome by itself: the place that
  * refuses knows whether the request had been handed to a server.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const refusalKinds = {
 	malformed: 'malformed',
--- a/src/command/administration-client.ts
+++ b/src/command/administration-client.ts
@@ -6,7 +6,7 @@
 import {request} from 'node:http';
 import {request as requestSecurely} from 'node:https';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
 const requestTimeoutMilliseconds = 15_000;
--- a/src/command/configuration.ts
+++ b/src/command/configuration.ts
@@ -1,6 +1,6 @@
 /** Commands for configurations: apply one, see who changed what, and who has it in force. */
 import * as Args from '@oclif/core/args';
-import {z} from 'zod';
+import * as z from 'zod';
 import {parseConfiguration} from '../configuration/index.js';
 import {formatFaults} from '../settings/index.js';
 import {
--- a/src/command/node-administration.ts
+++ b/src/command/node-administration.ts
@@ -1,7 +1,7 @@
 /** Commands for one node: its state, the members it knows, its drain, and keys that it issues. */
 import * as Args from '@oclif/core/args';
 import * as Flags from '@oclif/core/flags';
-import {z} from 'zod';
+import * as z from 'zod';
 import {AdministrationCommand, targetFlags} from './administration-command.js';
 
 const mostKeysAtOnce = 1000;
--- a/src/command/preset.ts
+++ b/src/command/preset.ts
@@ -1,7 +1,7 @@
 /** Commands for presets: list them, show one, switch to one. */
 import * as Args from '@oclif/core/args';
 import {stringify} from 'yaml';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	AdministrationCommand,
 	changeFlags,
--- a/src/configuration/rules.ts
+++ b/src/configuration/rules.ts
@@ -3,7 +3,7 @@
  * leave room, services of known ranks. They read the document loosely, so that they find their
  * faults beside those of the schema, in one pass.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {PlacedFault} from '../settings/document.js';
 
 type LoosePreset = {
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -2,7 +2,7 @@
  * The shape of a team's configuration document. Unknown keys are faults, and everything that has
  * a sensible default may be left out. Shares run from 0 to 1.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const routingChoices = {
 	/** Candidates by load view, then by estimated latency. */
--- a/src/configuration/stored.ts
+++ b/src/configuration/stored.ts
@@ -4,7 +4,7 @@
  */
 import {createHash} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Offer} from './holding.js';
 
 /** Changes that a row remembers; the present one is the first. */
--- a/src/load/experiment.ts
+++ b/src/load/experiment.ts
@@ -3,7 +3,7 @@
  * nodes, for how long. It is written in YAML and bounded in rate and time.
  */
 import {type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {readDocument, type DocumentFault} from '../settings/index.js';
 
 const maximumRatePerSecond = 100_000;
--- a/src/node/announcements.ts
+++ b/src/node/announcements.ts
@@ -9,7 +9,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {LocalServer} from './gate.js';
 import {hasSmallBody, readSmallBody} from '../http/index.js';
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -29,7 +29,8 @@
 import {createRelayPeerListener} from './peer-listener.js';
 import {createPeers} from './peers.js';
 import {createPlacer} from './placer.js';
-import {followRoutes, routesTopic} from './routes-follower.js';
+import {followRoutes} from './routes-follower.js';
+import {routesTopic, takeRoutesFromPeers} from './routes-from-peers.js';
 import {createRoutesHolder, type RoutesHolder} from './routes-in-force.js';
 import {splitAddress, type RelaySettings} from './settings.js';
 import {decideStopStep, stopSteps} from './stop.js';
@@ -45,11 +46,20 @@
 export type RelayStartError =
 	MembershipError | {readonly kind: 'listen-failed'; readonly message: string};
 
-/** A few nodes of each domain look for lost members often: restarts are frequent. */
-const reconnectIntervalMilliseconds = 1000;
-/** A restarted node serves by its own gate while it looks for the others, in milliseconds. */
-const joinTimeoutMilliseconds = 500;
-const settleMilliseconds = 100;
+/**
+ * Restarts are frequent and a restarted node serves by its own gate alone until it knows the
+ * others, so it looks for them more often than a node of a mesh that seldom changes.
+ */
+const relayParameters = {
+	reconnectIntervalMilliseconds: 1000,
+	joinTimeoutMilliseconds: 500,
+	settleMilliseconds: 100,
+	joinIntervalMilliseconds: 200,
+	gossipIntervalMilliseconds: 100,
+	/** What a node may spend on control. */
+	bytesPerSecond: 8192,
+	burstBytes: 16_384,
+};
 /** Upper bound of what one datagram takes to encode or decode, in microseconds. */
 const datagramMicroseconds = 20;
 const stopCheckMilliseconds = 50;
@@ -75,15 +85,15 @@
 		const parts = createParts(settings, adapter, log, incarnation);
 		const servers = yield* listenAll(settings, adapter, log, parts);
 		const socket = yield* Effect.promise(async () => parts.openSocket());
-		const membership = yield* joinRelays(settings, adapter, incarnation);
-		parts.attach(membership);
 		const follower = followRoutes({
 			source: adapter.routeSource,
 			holder: parts.holder,
-			membership,
 			log,
 			random: Math.random,
 		});
+		const membership = yield* joinRelays(settings, adapter, incarnation);
+		parts.attach(membership);
+		takeRoutesFromPeers({holder: parts.holder, membership, log});
 		yield* Effect.addFinalizer(() =>
 			Effect.sync(() => {
 				follower.close();
@@ -229,6 +239,11 @@
 		}),
 		attach(joined) {
 			membership = joined;
+			const inForce = holder.current();
+			if (inForce) {
+				joined.publishVersion(routesTopic, inForce.table.version);
+			}
+
 			const {accepting, server: announced} = gate.state();
 			if (accepting) {
 				joined.updateSelf({service: server.service, slots: announced?.slots ?? 0});
@@ -306,11 +321,7 @@
 		seeds: settings.seeds,
 		now,
 		random: Math.random,
-		parameters: {
-			reconnectIntervalMilliseconds,
-			joinTimeoutMilliseconds,
-			settleMilliseconds,
-		},
+		parameters: relayParameters,
 		...createSeedTable(adapter.table),
 	});
 }
--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -1,15 +1,9 @@
 /**
- * Keeps the routes of a node up to date: reads them from the table, follows their changes there
- * with one long question at a time, and takes them from another node when the gossip tells of a
- * version that has not come. A node whose table is away so learns of changes from the others.
+ * Keeps the routes of a node up to date: reads them from the table, and follows their changes
+ * there with one long question at a time.
  */
-import {Buffer} from 'node:buffer';
-import {request as sendRequest} from 'node:http';
 import type {Result} from 'neverthrow';
-import {collectWhole} from '../http/index.js';
 import type {Logger} from '../log/index.js';
-import type {Member, Membership} from '../membership/index.js';
-import {routesPath} from './peer-listener.js';
 import type {RoutesHolder} from './routes-in-force.js';
 
 /** What the table says of the routes. */
@@ -45,7 +39,6 @@
 export type RoutesFollowerOptions = {
 	readonly source: RouteSource;
 	readonly holder: RoutesHolder;
-	readonly membership: Pick<Membership, 'onVersion' | 'versionOf' | 'all' | 'self'>;
 	readonly log: Logger;
 	/** A number from 0 to below 1. */
 	readonly random: () => number;
@@ -53,31 +46,22 @@
 
 export type RoutesFollower = {readonly close: () => void};
 
-/** Gossip topic of the version of the routes. */
-export const routesTopic = 'routes';
 /** Longest time of one question to the table; half the history that it keeps, in milliseconds. */
 const waitMilliseconds = 15_000;
 /** Pauses after a question that failed, in milliseconds. */
 const shortestPauseMilliseconds = 200;
 const longestPauseMilliseconds = 2000;
-/** Time in which a version that others have usually comes by itself, in milliseconds. */
-const gossipHeadStartMilliseconds = 150;
-const peerTimeoutMilliseconds = 500;
-/** Nodes that are asked for a version before the next news of it is awaited. */
-const peerTries = 5;
-
 /**
  * Follows the routes until it is closed.
  *
- * @param options the table, the holder and the other nodes
+ * @param options the table, the holder and the log
  * @returns the follower
  */
 export function followRoutes(options: RoutesFollowerOptions): RoutesFollower {
-	const {source, holder, membership, log, random} = options;
+	const {source, holder, log, random} = options;
 	const life = {isClosed: false};
 	let isLost = false;
 	let failures = 0;
-	let isCatchingUp = false;
 
 	function noteAnswer(): void {
 		failures = 0;
@@ -144,40 +128,6 @@
 		}
 	}
 
-	function isBehind(): boolean {
-		const known = membership.versionOf(routesTopic) ?? 0;
-		return known > (holder.current()?.table.version ?? 0);
-	}
-
-	async function catchUp(from: string): Promise<void> {
-		if (isCatchingUp) {
-			return;
-		}
-
-		isCatchingUp = true;
-		await sleep(gossipHeadStartMilliseconds);
-		for (const member of listHolders(membership, from).slice(0, peerTries)) {
-			if (life.isClosed || !isBehind()) {
-				break;
-			}
-
-			const text = await fetchRoutes(member);
-			if (text === undefined) {
-				log.info('peer gave no routes', {peer: member.nodeId});
-				continue;
-			}
-
-			holder.take(text, member.nodeId);
-		}
-
-		isCatchingUp = false;
-	}
-
-	membership.onVersion((topic, _version, from) => {
-		if (topic === routesTopic && isBehind()) {
-			void catchUp(from);
-		}
-	});
 	void follow();
 	return {
 		close() {
@@ -186,49 +136,6 @@
 	};
 }
 
-/** The node that told of a version comes first; any other may have it as well. */
-function listHolders(
-	membership: Pick<Membership, 'all' | 'self'>,
-	from: string,
-): Member[] {
-	const self = membership.self().nodeId;
-	const others = membership
-		.all()
-		.filter(({nodeId, status}) => nodeId !== self && status !== 'dead');
-	return [
-		...others.filter(({nodeId}) => nodeId === from),
-		...others.filter(({nodeId}) => nodeId !== from),
-	];
-}
-
-/** Asks a node for its routes; undefined when it has none or does not answer in time. */
-async function fetchRoutes(member: Member): Promise<string | undefined> {
-	return new Promise(resolve => {
-		const request = sendRequest({
-			host: member.host,
-			port: member.peerPort,
-			path: routesPath,
-			agent: false,
-			signal: AbortSignal.timeout(peerTimeoutMilliseconds),
-		});
-		request.on('response', response => {
-			if (response.statusCode !== 200) {
-				response.resume();
-				resolve(undefined);
-				return;
-			}
-
-			collectWhole(response, whole => {
-				resolve(whole && Buffer.from(whole).toString('utf8'));
-			});
-		});
-		request.on('error', () => {
-			resolve(undefined);
-		});
-		request.end();
-	});
-}
-
 async function sleep(milliseconds: number): Promise<void> {
 	await new Promise<void>(resolve => {
 		setTimeout(resolve, milliseconds);
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -1,7 +1,7 @@
 /** The settings of a relay node, read from YAML and checked as a whole. */
 import {err, ok, type Result} from 'neverthrow';
 import {parse} from 'yaml';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const port = z.number().int().min(1).max(65_535);
 const milliseconds = z.number().positive();
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -2,7 +2,7 @@
  * The shape of a node's settings: who it is, where it listens, whom it asks first. Unknown keys
  * are faults. Times carry their unit in their name.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {roles} from '../administration/access.js';
 import {logFormats} from '../log/index.js';
 
--- a/src/table/table-client.ts
+++ b/src/table/table-client.ts
@@ -20,7 +20,7 @@
 import {Agent, type OutgoingHttpHeaders} from 'node:http';
 import {Agent as SecureAgent} from 'node:https';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {sendExchange, type ExchangeAnswer} from './exchange.js';
 import {
 	createConflict,
