--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -18,7 +18,6 @@
 	target: 'node20',
 	format: 'cjs',
 	minifySyntax: true,
-	minifyWhitespace: true,
 	sourcemap: false,
 	legalComments: 'none',
 	logLevel: 'warning',
