--- a/src/log/event-log.ts
+++ b/src/log/event-log.ts
@@ -44,6 +44,7 @@
 	});
 	let dropped = 0;
 	let reported = 0;
+	let isClosed = false;
 	stream.on('drop', () => {
 		dropped += 1;
 	});
@@ -53,6 +54,11 @@
 	});
 
 	function write(entry: LogObject): void {
+		if (isClosed) {
+			dropped += 1;
+			return;
+		}
+
 		const [message, fields] = entry.args as readonly unknown[];
 		const line = {time: entry.date.toISOString(), level: entry.type, message, ...common};
 		const lost = dropped > reported ? {droppedLines: dropped} : {};
@@ -77,6 +83,7 @@
 		},
 		countDropped: () => dropped,
 		async close() {
+			isClosed = true;
 			await new Promise<void>(resolve => {
 				const timer = setTimeout(resolve, closeTimeoutMilliseconds);
 				stream.once('finish', () => {
