Pass on an answer without a length as one without a length, and know calls of running requests by id

Nobody can tell such an answer from a whole one, so it is passed on as it came, and its connection closes. Ruled out: resets (they are lost, test/http/exchange.test.ts), the hop between nodes.

--- a/src/call/attempt-request.ts
+++ b/src/call/attempt-request.ts
@@ -48,6 +48,11 @@
 	/** End-to-end headers of the server's answer. */
 	readonly headers: HeaderList;
 	readonly body: Body;
+	/**
+	 * Whether its end was told only by the end of its connection, so that nobody knows whether it
+	 * is whole; it is passed on in the same way.
+	 */
+	readonly endsWithConnection?: boolean;
 	/** Load that the gate reports with the answer, in the form of the load header. */
 	readonly load: string | undefined;
 };
--- a/src/http/answer.ts
+++ b/src/http/answer.ts
@@ -8,6 +8,7 @@
 import {
 	attemptResultKinds,
 	createRefusal,
+	findHeader,
 	headerNames,
 	isWhole,
 	outcomes,
@@ -34,6 +35,12 @@
 	extra: ExtraHeaders = [],
 ): void {
 	const headers = [...answer.headers, headerNames.outcome, outcomes.ran, ...extra];
+	if (answer.endsWithConnection) {
+		leaveUnframed(response);
+	} else if (needsLength(response, answer)) {
+		headers.push('content-length', String(answer.body.length));
+	}
+
 	response.writeHead(answer.status, headers);
 	if (isWhole(answer.body)) {
 		response.end(answer.body);
@@ -47,6 +54,26 @@
 	});
 }
 
+/** A body that came in chunks is whole by now, and its length is known. */
+function needsLength(
+	response: ServerResponse,
+	answer: AttemptAnswered,
+): answer is AttemptAnswered & {readonly body: Uint8Array} {
+	return (
+		isWhole(answer.body) &&
+		answer.body.length > 0 &&
+		response.req.method !== 'HEAD' &&
+		findHeader(answer.headers, 'content-length') === undefined
+	);
+}
+
+/** Gives the answer no length and no chunks; its connection closes after it. */
+function leaveUnframed(response: ServerResponse): void {
+	response.removeHeader('content-length');
+	response.removeHeader('transfer-encoding');
+	response.shouldKeepAlive = false;
+}
+
 /**
  * Writes a refusal as JSON.
  *
--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -34,6 +34,8 @@
 	readonly status: number;
 	readonly rawHeaders: HeaderList;
 	readonly body: Body;
+	/** Whether only the end of the connection told the end of the body. */
+	readonly endsWithConnection: boolean;
 };
 
 export type ExchangeFailed = {
@@ -215,6 +217,7 @@
 			status: response.statusCode!,
 			rawHeaders: response.rawHeaders,
 			body,
+			endsWithConnection: hasBody(request, response) && isUnframed(response),
 		});
 	};
 
@@ -246,8 +249,18 @@
 	});
 }
 
+function hasBody(request: ClientRequest, response: IncomingMessage): boolean {
+	return request.method !== 'HEAD' && !bodilessStatuses.has(response.statusCode!);
+}
+
+function isUnframed({headers}: IncomingMessage): boolean {
+	return (
+		headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+	);
+}
+
 function isHeld({request, response, holdBytes}: Receiving): boolean {
-	if (request.method === 'HEAD' || bodilessStatuses.has(response.statusCode!)) {
+	if (!hasBody(request, response)) {
 		return true;
 	}
 
--- a/src/http/peer-result.ts
+++ b/src/http/peer-result.ts
@@ -50,6 +50,7 @@
 			status: result.status,
 			headers: copyEndToEndHeaders(result.rawHeaders),
 			body: result.body,
+			endsWithConnection: result.endsWithConnection,
 			load,
 		};
 	}
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -43,8 +43,8 @@
 	readonly run: RunRelayCall;
 	/** Service of the server beside the node, in whose name requests begin here. */
 	readonly service: string;
-	/** Whether the own server runs a request with this deadline, which may have made the call. */
-	readonly runsUntil: (deadlineAt: number) => boolean;
+	/** Whether the own server runs the request that made the one with this id. */
+	readonly runsCallerOf: (requestId: string) => boolean;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 	/** Is told how each request ended. */
@@ -175,7 +175,6 @@
 	function createCall(request: IncomingMessage, received: Received): RelayCall {
 		const {head, route, arrivedAt, body} = received;
 		const patience = head.patienceMilliseconds ?? Number.POSITIVE_INFINITY;
-		const callerDeadlineAt = arrivedAt + patience;
 		return {
 			requestId: head.requestId ?? '',
 			route: route.name,
@@ -187,7 +186,7 @@
 			originService: options.service,
 			rank: route.rank,
 			idempotent: route.idempotent,
-			nested: options.runsUntil(callerDeadlineAt),
+			nested: options.runsCallerOf(head.requestId ?? ''),
 			targetMilliseconds: route.targetMilliseconds,
 			arrivedAt,
 			targetAt: arrivedAt + route.targetMilliseconds,
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -129,8 +129,8 @@
 	readonly announce: (announcement: ServerAnnouncement) => AnnouncementVerdict;
 	/** The server with this id says that it ends. */
 	readonly endServer: (id: string) => boolean;
-	/** Whether a request that runs here has this deadline, so that it may be the caller. */
-	readonly runsUntil: (deadlineAt: number) => boolean;
+	/** Whether the request with this id was made by one that runs here. */
+	readonly runsCallerOf: (requestId: string) => boolean;
 	/** Refuses new work from now on. */
 	readonly leave: () => void;
 	readonly state: () => RelayGateState;
@@ -149,8 +149,6 @@
 
 /** How often what waits is looked at: for lost time, and for the server's speed. */
 const pumpIntervalMilliseconds = 15;
-/** Deadlines that differ by less belong to a request and its caller, in milliseconds. */
-const sameDeadlineMilliseconds = 4;
 /** How long a server that takes no connection is left alone, in milliseconds. */
 const unreachableMilliseconds = 700;
 /** How long a server whose health path is silent is left alone, in milliseconds. */
@@ -598,9 +596,11 @@
 			applyRecord();
 			return true;
 		},
-		runsUntil(deadlineAt) {
-			for (const {work} of queue.running.values()) {
-				if (Math.abs(work.deadlineAt - deadlineAt) < sameDeadlineMilliseconds) {
+		runsCallerOf(requestId) {
+			for (const {attempt, exchange} of entries.values()) {
+				const {requestId: runningId} = attempt.call;
+				const isLonger = requestId.length > runningId.length && runningId !== '';
+				if (exchange && isLonger && requestId.startsWith(runningId)) {
 					return true;
 				}
 			}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -207,7 +207,7 @@
 			wallClock: Date.now,
 		}),
 		service: server.service,
-		runsUntil: gate.runsUntil,
+		runsCallerOf: gate.runsCallerOf,
 		now,
 		onEnd(end) {
 			const known = answerBytes.get(end.route) ?? end.bytes;
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -291,6 +291,7 @@
 			status: answer.status,
 			headers: copyEndToEndHeaders(answer.rawHeaders),
 			body: answer.body,
+			endsWithConnection: answer.endsWithConnection,
 			load: undefined,
 		},
 		facts,
