--- a/src/node/announcements.ts
+++ b/src/node/announcements.ts
@@ -10,8 +10,8 @@
 	type ServerResponse,
 } from 'node:http';
 import * as z from 'zod';
-import type {LocalServer} from './gate.js';
 import {hasSmallBody, readSmallBody} from '../http/index.js';
+import type {LocalServer} from './gate.js';
 
 export const serverHealths = {
 	serving: 'serving',
--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -43,6 +43,13 @@
 	type RunningAttempt,
 } from '../call/index.js';
 import {encodeLoadReport} from '../routing/index.js';
+import {
+	exchangeKinds,
+	startExchange,
+	type ExchangeFailed,
+	type ExchangeResult,
+	type RunningExchange,
+} from '../http/index.js';
 import {describeRefusal} from './gate-refusal.js';
 import {
 	describeCrash,
@@ -52,13 +59,6 @@
 	readServerAnswer,
 } from './server-answer.js';
 import {isListening} from './server-probe.js';
-import {
-	exchangeKinds,
-	startExchange,
-	type ExchangeFailed,
-	type ExchangeResult,
-	type RunningExchange,
-} from '../http/index.js';
 
 /** The server beside the node, as it announced itself. */
 export type LocalServer = {
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -190,7 +190,8 @@
 		target: ServerTarget,
 		path: string,
 	): Promise<ServerHealth | undefined> {
-		return (await ask(kept, target, path)) ?? (await ask(fresh, target, path));
+		const health = await ask(kept, target, path);
+		return health ?? ask(fresh, target, path);
 	}
 
 	async function ask(
--- a/src/start.ts
+++ b/src/start.ts
@@ -5,22 +5,20 @@
 import {readFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
 import path from 'node:path';
+import process from 'node:process';
 import {Script} from 'node:vm';
 
-type Program = (
-	exports: unknown,
-	require: NodeJS.Require,
-	module: unknown,
-	filename: string,
-	directory: string,
-) => void;
+/** Exports, require, module, file name and directory, as a CommonJS module gets them. */
+type ModuleScope = readonly [unknown, NodeJS.Require, unknown, string, string];
 
-const filename = path.join(__dirname, 'program.cjs');
+const directory = path.dirname(process.argv[1]!);
+const filename = path.join(directory, 'program.cjs');
 const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(filename, 'utf8')}\n})`;
 const script = new Script(source, {
 	filename: 'target/program.cjs',
-	cachedData: readFileSync(path.join(__dirname, 'program.cache')),
+	cachedData: readFileSync(path.join(directory, 'program.cache')),
 });
 const module = {exports: {}};
-const run = script.runInThisContext() as Program;
-run(module.exports, createRequire(filename), module, filename, __dirname);
+// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The source is ours.
+const run = script.runInThisContext() as (...scope: ModuleScope) => void;
+run(module.exports, createRequire(filename), module, filename, directory);
--- a/test/http/exchange.test.ts
+++ b/test/http/exchange.test.ts
@@ -1,7 +1,6 @@
 /** What an exchange makes of answers that break off, come doubled or come too early. */
-import {createServer, type Server, type Socket} from 'node:net';
 import {Agent} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {exchangeKinds, startExchange, type ExchangeResult} from '../../src/http/index.js';
