Prove the relay as processes beside stand-ins of the platform's store and servers

Eight cases: own answers, one id through two logs, draining, at most once, configuration that never goes back, the store away, a planned stop under load, metrics. The check found that the log's library gives no named export outside a bundle; it is imported whole now.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -8,6 +8,7 @@
 	demo: 'demo/main.ts',
 	foxtailtide: 'src/main.ts',
 	'plain-relay': 'bench/plain-relay.ts',
+	relay: 'platform/main.ts',
 	'stand-in-server': 'stand-ins/server/main.ts',
 	'stand-in-table': 'stand-ins/table/main.ts',
 };
--- a/src/log/event-log.ts
+++ b/src/log/event-log.ts
@@ -4,7 +4,7 @@
  * what does not fit is dropped and counted, and the count is logged once there is room.
  */
 import {createConsola, type LogObject} from 'consola';
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import type {LogFields, Logger} from './log.js';
 
 const standardOutput = 1;
@@ -35,7 +35,7 @@
 	common: LogFields,
 	descriptor: number = standardOutput,
 ): EventLog {
-	const stream = new SonicBoom({
+	const stream = new sonicBoom.SonicBoom({
 		fd: descriptor,
 		minLength: writeBytes,
 		maxLength: bufferBytes,
--- /dev/null
+++ b/test/process/relay.test.ts
@@ -0,0 +1,180 @@
+/** The relay as processes beside stand-in servers, with a stand-in store: the path without the bench. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {
+	ask,
+	createConfiguration,
+	startRelayMesh,
+	waitFor,
+	type LogLine,
+} from '../support/relay-mesh.js';
+
+test('each caller gets the answer to its own request, and the server is told the truth', async context => {
+	const {nodes} = await startRelayMesh(context, 2);
+	const ids = Array.from({length: 60}, (_, index) => `request-${index}`);
+	const answers = await Promise.all(
+		ids.map(async (id, index) =>
+			ask(nodes[index % 2]!.callersPort, `/search/${index}`, {
+				'x-request-id': id,
+				'x-caller-service': 'forged',
+			}),
+		),
+	);
+	expect(answers.map(({status}) => status)).toEqual(ids.map(() => 200));
+	expect(answers.map(({body}) => body)).toEqual(ids.map(id => `answer to ${id}`));
+	const seen = nodes.flatMap(({server}) => server.seen);
+	expect(seen.every(({originService}) => originService === 'bookings')).toEqual(true);
+	expect(seen.every(({deadlineMilliseconds}) => deadlineMilliseconds <= 1400)).toEqual(
+		true,
+	);
+});
+
+test('one id leads through the logs of the node that took it and the one that ran it', async context => {
+	const {nodes} = await startRelayMesh(context, 2);
+	await nodes[0]!.server.drain();
+	const answer = await ask(nodes[0]!.callersPort, '/search/1', {
+		'x-request-id': 'followed',
+	});
+	expect(answer.status).toEqual(200);
+	const messagesOf = (logs: readonly LogLine[]) =>
+		logs.filter(({request}) => request === 'followed').map(({message}) => message);
+	await waitFor(
+		() =>
+			messagesOf(nodes[0]!.logs).includes('call answered') &&
+			messagesOf(nodes[1]!.logs).includes('gate finished'),
+	);
+	expect(messagesOf(nodes[0]!.logs)).toEqual([
+		'call received',
+		'call placed',
+		'call answered',
+	]);
+	// It waits for a moment when the server's speed has to be asked for first.
+	expect(messagesOf(nodes[1]!.logs).slice(-2)).toEqual(['gate started', 'gate finished']);
+});
+
+test('a server that drains gets nothing new once that is acknowledged', async context => {
+	const {nodes} = await startRelayMesh(context, 2);
+	expect(await nodes[0]!.server.drain()).toEqual(200);
+	const before = nodes[0]!.server.seen.length;
+	const answers = await Promise.all(
+		Array.from({length: 20}, async (_, index) =>
+			ask(nodes[index % 2]!.callersPort, '/search/2', {'x-request-id': `late-${index}`}),
+		),
+	);
+	expect(answers.every(({status}) => status === 200)).toEqual(true);
+	expect(nodes[0]!.server.seen.length).toEqual(before);
+});
+
+test('work that may not repeat runs once when its connection breaks, idempotent work is repeated', async context => {
+	const {nodes} = await startRelayMesh(context, 2);
+	nodes[0]!.server.resetOn('broken');
+	nodes[1]!.server.resetOn('broken');
+	const unsafe = await ask(
+		nodes[0]!.callersPort,
+		'/book/broken',
+		{'x-request-id': 'unsafe'},
+		'POST',
+	);
+	const safe = await ask(nodes[0]!.callersPort, '/search/broken', {
+		'x-request-id': 'safe',
+	});
+	const countRuns = (id: string) =>
+		nodes.flatMap(({server}) => server.seen).filter(({requestId}) => requestId === id)
+			.length;
+	expect(unsafe.status).toEqual(502);
+	expect(countRuns('unsafe')).toEqual(1);
+	expect(safe.status).toEqual(502);
+	expect(countRuns('safe')).toEqual(2);
+});
+
+test('a later configuration is in force at every node, an earlier one never again', async context => {
+	const {nodes, store} = await startRelayMesh(context, 2);
+	const unknown = await ask(nodes[0]!.callersPort, '/new/1');
+	expect(unknown.status).toEqual(404);
+	store.putConfiguration(createConfiguration(3, '/new/'));
+	await waitFor(() =>
+		nodes.every(({logs}) =>
+			logs.some(({message, version}) => message === 'routes in force' && version === 3),
+		),
+	);
+	store.putConfiguration(createConfiguration(2));
+	store.putConfiguration({version: 'r9', hosts: 'unreadable'});
+	await waitFor(() =>
+		nodes.every(({logs}) => logs.some(({message}) => message === 'routes unreadable')),
+	);
+	const answers = await Promise.all(
+		nodes.map(async ({callersPort}) =>
+			ask(callersPort, '/new/1', {'x-request-id': `new-${callersPort}`}),
+		),
+	);
+	expect(answers.map(({status}) => status)).toEqual([200, 200]);
+});
+
+test('calls go on while the store is away, and its return is noticed', async context => {
+	const {nodes, store} = await startRelayMesh(context, 2);
+	store.setAway(true);
+	// The open feed ends with a change that comes while the store turns away new questions.
+	store.putConfiguration(createConfiguration(4, '/new/'));
+	await waitFor(() =>
+		nodes.every(({logs}) => logs.some(({message}) => message === 'table lost')),
+	);
+	const during = await ask(nodes[0]!.callersPort, '/search/1', {
+		'x-request-id': 'during',
+	});
+	expect(during.status).toEqual(200);
+	store.setAway(false);
+	await waitFor(() =>
+		nodes.every(({logs}) => logs.some(({message}) => message === 'table regained')),
+	);
+});
+
+test('a planned stop under load cuts no request', async context => {
+	const {nodes} = await startRelayMesh(context, 3, 60);
+	const [leaving, ...others] = nodes;
+	const statuses: number[] = [];
+	const load = {isOver: false};
+	const send = async (port: number, name: string): Promise<void> => {
+		for (let index = 0; !load.isOver; index += 1) {
+			const answer = await ask(port, '/search/1', {'x-request-id': `${name}-${index}`});
+			statuses.push(answer.status);
+		}
+	};
+
+	const senders = others.flatMap(({callersPort}, node) =>
+		Array.from({length: 4}, async (_, index) => send(callersPort, `${node}-${index}`)),
+	);
+	const own = Array.from({length: 4}, async (_, index) => {
+		for (let count = 0; leaving!.child.exitCode === null; count += 1) {
+			const {status} = await ask(leaving!.readinessPort, '/ready');
+			if (status !== 200) {
+				return;
+			}
+
+			const answer = await ask(leaving!.callersPort, '/search/1', {
+				'x-request-id': `own-${index}-${count}`,
+			});
+			statuses.push(answer.status);
+		}
+	});
+	await new Promise(resolve => {
+		setTimeout(resolve, 300);
+	});
+	leaving!.child.kill('SIGTERM');
+	await leaving!.ended;
+	load.isOver = true;
+	await Promise.all([...senders, ...own]);
+	expect(leaving!.child.exitCode).toEqual(0);
+	expect(statuses.length).toBeGreaterThan(100);
+	expect(statuses.filter(status => status !== 200)).toEqual([]);
+	expect(leaving!.logs.some(({message}) => message === 'node stopped')).toEqual(true);
+});
+
+test('metrics and the state dump are served', async context => {
+	const {nodes} = await startRelayMesh(context, 1);
+	await ask(nodes[0]!.callersPort, '/search/1', {'x-request-id': 'counted'});
+	const metrics = await ask(nodes[0]!.metricsPort, '/metrics');
+	expect(metrics.body.includes('foxtailtide_call_milliseconds_bucket')).toEqual(true);
+	const state = await ask(nodes[0]!.metricsPort, '/state');
+	const dump = JSON.parse(state.body) as {routesVersion: number};
+	expect(dump.routesVersion).toEqual(1);
+});
--- /dev/null
+++ b/test/support/relay-mesh.ts
@@ -0,0 +1,264 @@
+/**
+ * Relay nodes as processes of their own, each beside a stand-in server, with a stand-in store:
+ * the path that the platform runs, on loopback.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {request as sendRequest, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {
+	createPlatformServer,
+	type StandInPlatformServer,
+} from '../../stand-ins/platform/server.js';
+import {createStandInStore, type StandInStore} from '../../stand-ins/platform/store.js';
+import {findFreePorts, writeSettings, type Cleaner} from './processes.js';
+
+const program = path.resolve(import.meta.dirname, '../../dist/relay.cjs');
+const host = '127.0.0.1';
+const readyTimeoutMilliseconds = 20_000;
+
+export type LogLine = Readonly<Record<string, unknown>> & {readonly message: string};
+
+export type RelayNode = {
+	readonly child: ChildProcess;
+	readonly server: StandInPlatformServer;
+	readonly callersPort: number;
+	readonly readinessPort: number;
+	readonly metricsPort: number;
+	readonly logs: LogLine[];
+	readonly ended: Promise<unknown>;
+};
+
+export type RelayMesh = {
+	readonly store: StandInStore;
+	readonly nodes: readonly RelayNode[];
+};
+
+export type Answer = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly body: string;
+};
+
+/** Configuration with one route of each kind to one service. */
+export function createConfiguration(version: number, extraPrefix?: string): unknown {
+	const paths = [
+		createPath('search', '/search/', 'idempotent'),
+		createPath('book', '/book/', 'non_idempotent'),
+	];
+	if (extraPrefix !== undefined) {
+		paths.push(createPath('extra', extraPrefix, 'idempotent'));
+	}
+
+	return {
+		version: `r${version}`,
+		services: [{name: 'bookings', 'health-path': '/health', 'max-conns': 100}],
+		limits: {
+			'max-header-bytes': 16_384,
+			'max-body-bytes': 1_000_000,
+			'header-timeout-ms': 3000,
+			'idle-timeout-ms': 15_000,
+		},
+		hosts: [{host: 'bays.example', paths}],
+	};
+}
+
+function createPath(name: string, prefix: string, kind: string) {
+	return {
+		name,
+		prefix,
+		kind,
+		'timeout-ms': 1500,
+		'target-latency-ms': 500,
+		priority: 1,
+		'max-attempts': 2,
+		service: 'bookings',
+	};
+}
+
+/** Starts a store and some nodes with their servers, and waits until all are ready. */
+export async function startRelayMesh(
+	cleaner: Cleaner,
+	count: number,
+	workMilliseconds = 30,
+): Promise<RelayMesh> {
+	const store = createStandInStore();
+	store.putConfiguration(createConfiguration(1));
+	const storePort = await listen(cleaner, store.server);
+	const nodes: RelayNode[] = [];
+	for (let index = 0; index < count; index += 1) {
+		nodes.push(await startNode(cleaner, {index, storePort, workMilliseconds}));
+	}
+
+	await Promise.all(nodes.map(async node => waitUntilReady(node)));
+	await Promise.all(nodes.map(async node => waitUntilAllKnown(node, count)));
+	return {store, nodes};
+}
+
+type NodeOptions = {
+	readonly index: number;
+	readonly storePort: number;
+	readonly workMilliseconds: number;
+};
+
+async function startNode(cleaner: Cleaner, options: NodeOptions): Promise<RelayNode> {
+	const [callers, readiness, announcements, peer, gossip, metrics] =
+		await findFreePorts(6);
+	const server = createPlatformServer({
+		id: `server-${options.index}`,
+		service: 'bookings',
+		slots: 8,
+		workMilliseconds: options.workMilliseconds,
+	});
+	const serverPort = await listen(cleaner, server.server);
+	cleaner.after(() => {
+		server.close();
+	});
+	const settings = {
+		node: {id: `node-${options.index}`, region: 'coast', failureDomain: 'coast-a'},
+		server: {service: 'bookings', address: `${host}:${serverPort}`},
+		listeners: {
+			callers: `${host}:${callers}`,
+			readiness: `${host}:${readiness}`,
+			announcements: `${host}:${announcements}`,
+			host,
+			peer,
+			gossip,
+			metrics,
+		},
+		table: `${host}:${options.storePort}`,
+		stop: {graceMilliseconds: 6000},
+		repeats: {ratio: 0.2, slack: 58, windowMilliseconds: 10_000},
+	};
+	const file = writeSettings(settings);
+	const child = spawn(process.execPath, [program, 'run', file], {
+		stdio: ['ignore', 'pipe', 'inherit'],
+	});
+	const ended = once(child, 'exit');
+	const logs: LogLine[] = [];
+	createInterface({input: child.stdout}).on('line', line => {
+		logs.push(JSON.parse(line) as LogLine);
+	});
+	cleaner.after(async () => {
+		child.kill('SIGKILL');
+		await ended;
+	});
+	const node = {
+		child,
+		server,
+		callersPort: callers!,
+		readinessPort: readiness!,
+		metricsPort: metrics!,
+		logs,
+		ended,
+	};
+	await waitUntilReady(node);
+	server.announceTo(host, announcements!, `${host}:${serverPort}`);
+	return node;
+}
+
+/** Sends a request to a node; status 0 stands for a connection that broke. */
+export async function ask(
+	port: number,
+	requestPath: string,
+	headers: Record<string, string> = {},
+	method = 'GET',
+): Promise<Answer> {
+	return new Promise(resolve => {
+		const request = sendRequest(
+			{
+				host,
+				port,
+				path: requestPath,
+				method,
+				agent: false,
+				headers: {host: 'bays.example', 'x-request-deadline': '1400', ...headers},
+			},
+			response => {
+				let body = '';
+				response.setEncoding('utf8');
+				response.on('data', (chunk: string) => {
+					body += chunk;
+				});
+				response.on('end', () => {
+					resolve({status: response.statusCode!, headers: response.headers, body});
+				});
+				response.on('error', () => {
+					resolve({status: 0, headers: {}, body});
+				});
+			},
+		);
+		request.on('error', () => {
+			resolve({status: 0, headers: {}, body: ''});
+		});
+		request.end();
+	});
+}
+
+/** Waits until something is so; fails after a while. */
+export async function waitFor(isSo: () => boolean): Promise<void> {
+	const deadline = Date.now() + readyTimeoutMilliseconds;
+	while (!isSo()) {
+		if (Date.now() > deadline) {
+			throw new Error('what the test waits for did not come in time');
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
+async function waitUntilReady({readinessPort}: Pick<RelayNode, 'readinessPort'>) {
+	const deadline = Date.now() + readyTimeoutMilliseconds;
+	for (;;) {
+		const {status} = await ask(readinessPort, '/ready');
+		if (status === 200) {
+			return;
+		}
+
+		if (Date.now() > deadline) {
+			throw new Error('the node did not become ready in time');
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 50);
+		});
+	}
+}
+
+async function waitUntilAllKnown(
+	{metricsPort}: Pick<RelayNode, 'metricsPort'>,
+	count: number,
+): Promise<void> {
+	const deadline = Date.now() + readyTimeoutMilliseconds;
+	for (;;) {
+		const {body} = await ask(metricsPort, '/state');
+		const {members = []} = JSON.parse(body) as {members?: Array<{service?: string}>};
+		if (members.filter(({service}) => service !== undefined).length === count) {
+			return;
+		}
+
+		if (Date.now() > deadline) {
+			throw new Error(`the node did not learn of all servers: ${body}`);
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 50);
+		});
+	}
+}
+
+async function listen(cleaner: Cleaner, server: Server): Promise<number> {
+	await new Promise<void>(resolve => {
+		server.listen(0, host, resolve);
+	});
+	cleaner.after(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	return (server.address() as AddressInfo).port;
+}
