--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -6,6 +6,7 @@
 	writeResult,
 	type ExtraHeaders,
 } from './answer.js';
+export {closeToNewConnections} from './close.js';
 export {
 	collectWhole,
 	exchangeKinds,
--- a/src/node/stop.ts
+++ b/src/node/stop.ts
@@ -4,6 +4,7 @@
  */
 import process from 'node:process';
 import {Deferred, Duration, Effect, type Scope} from 'effect';
+import {closeToNewConnections} from '../http/index.js';
 import type {Logger} from '../log/index.js';
 import type {Membership} from '../membership/index.js';
 import type {Gate} from './gate.js';
@@ -58,7 +59,7 @@
 		ingress.setLeaving();
 		yield* Effect.promise(async () => membership.leave());
 		yield* Effect.sleep(Duration.millis(leaveNoticeMilliseconds));
-		ingress.server.close();
+		yield* Effect.promise(async () => closeToNewConnections(ingress.server));
 		yield* Effect.promise(keys.close);
 		yield* Effect.promise(async () => ingress.drained());
 		yield* Effect.promise(async () => gate.drained());
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -6,6 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import {Effect, type Scope} from 'effect';
 import {formatIngress} from '../call/index.js';
+import {closeToNewConnections} from '../http/index.js';
 import type {EventLog} from '../log/index.js';
 import {
 	createMeasuringMeter,
@@ -406,6 +407,7 @@
 		});
 	}
 
+	await closeToNewConnections(parts.callers.server);
 	const left = parts.callers.countInFlight();
 	log.info('node stopped', {
 		inFlight: left,
