Tell a cold server's own pace from a slow piece, and this process's slowness from a silent server

And a node that is slow after its start took its server for unreachable when its own timers fired late, and gave back all that waited (73 refusals in half a second). Change: slow is what exceeds the lowest slowdown of the last 450 ms; a health question that was answered too late by this process's own fault proves nothing, and the second gets 150 ms.

--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -303,6 +303,11 @@
 			return;
 		}
 
+		if (health.serverId === undefined && health.slowdown === undefined) {
+			assumeUsualSpeed(queue.pace, now());
+			return;
+		}
+
 		reportSlowdown(queue.pace, health.slowdown, now());
 		adopt(health);
 	}
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -35,8 +35,18 @@
 const firstFailureStatus = 500;
 /** The health path answers at once, in about a millisecond. */
 const probeTimeoutMilliseconds = 40;
+/** A second question goes out on a new connection, and is given more time. */
+const secondProbeTimeoutMilliseconds = 150;
+/** Timers that fire later than this tell of this process's own slowness. */
+const lateTimerMilliseconds = 30;
 
 const emptyBody = new Uint8Array(0);
+const unknownHealth: ServerHealth = {
+	isWell: false,
+	serverId: undefined,
+	slots: undefined,
+	slowdown: undefined,
+};
 
 /** How the server ended a request. */
 export const serverEnds = {
@@ -190,15 +200,17 @@
 		target: ServerTarget,
 		path: string,
 	): Promise<ServerHealth | undefined> {
-		const health = await ask(kept, target, path);
-		return health ?? ask(fresh, target, path);
+		const health = await ask(kept, target, path, probeTimeoutMilliseconds);
+		return health ?? ask(fresh, target, path, secondProbeTimeoutMilliseconds);
 	}
 
 	async function ask(
 		agent: Agent,
 		target: ServerTarget,
 		path: string,
+		timeoutMilliseconds: number,
 	): Promise<ServerHealth | undefined> {
+		const askedAt = now();
 		const exchange = startExchange({
 			agent,
 			host: target.host,
@@ -208,15 +220,18 @@
 			headers: [],
 			body: emptyBody,
 			awaitContinue: false,
-			connectTimeoutMilliseconds: probeTimeoutMilliseconds,
+			connectTimeoutMilliseconds: timeoutMilliseconds,
 			holdBytes: heldAnswerBytes,
 		});
-		const timer = setTimeout(exchange.cancel, probeTimeoutMilliseconds);
+		const timer = setTimeout(exchange.cancel, timeoutMilliseconds);
 		const result = await exchange.result;
 		clearTimeout(timer);
-		return result.kind === exchangeKinds.answered
-			? dialect.readServerHealth(result.status, result.rawHeaders)
-			: undefined;
+		if (result.kind === exchangeKinds.answered) {
+			return dialect.readServerHealth(result.status, result.rawHeaders);
+		}
+
+		const isOwnSlowness = now() - askedAt > timeoutMilliseconds + lateTimerMilliseconds;
+		return isOwnSlowness ? unknownHealth : undefined;
 	}
 
 	return {
--- a/src/waiting/pace.ts
+++ b/src/waiting/pace.ts
@@ -13,15 +13,15 @@
 const freshMilliseconds = 5;
 /** Usual length of a slow piece, in milliseconds. */
 const pieceMilliseconds = 150;
-/** A server that is slow for longer than this is slow for good, in milliseconds. */
+/** A slowdown that lasts longer than this is the server's own pace, in milliseconds. */
 const steadyMilliseconds = 3 * pieceMilliseconds;
-/** Slowdown from which on a server counts as slow. */
+/** Slowdown beyond the server's own pace from which on it counts as slow. */
 const slowFrom = 1.5;
 /** Weight of one more duration in a moving mean. */
 const durationWeight = 0.1;
 /** Share of the latency target that a route's work is taken to need before any was seen. */
 const unseenTargetShare = 0.3;
-/** Factor by which a server is slower until it is warm. */
+/** Factor by which a server that does not report its speed is slower until it is warm. */
 const coldFactor = 1.5;
 
 export type Pace = {
@@ -35,8 +35,10 @@
 	reportsSpeed: boolean | undefined;
 	/** Monotonic time of the last report, in milliseconds. */
 	reportedAt: number;
-	/** Monotonic time since which every report was slow, in milliseconds. */
-	slowSince: number | undefined;
+	/** The server's own pace: the lowest slowdown of late; above one while it is cold. */
+	ownPace: number;
+	/** Monotonic time at which it was last reported, in milliseconds. */
+	ownPaceAt: number;
 	/** Monotonic time until which the server is cold, in milliseconds. */
 	coldUntil: number;
 };
@@ -49,7 +51,8 @@
 		slowdown: usualSpeed,
 		reportsSpeed: undefined,
 		reportedAt: Number.NEGATIVE_INFINITY,
-		slowSince: undefined,
+		ownPace: usualSpeed,
+		ownPaceAt: Number.NEGATIVE_INFINITY,
 		coldUntil: Number.NEGATIVE_INFINITY,
 	};
 }
@@ -91,19 +94,21 @@
 	pace.reportsSpeed = slowdown !== undefined;
 	pace.slowdown = slowdown ?? usualSpeed;
 	pace.reportedAt = now;
-	pace.slowSince = pace.slowdown < slowFrom ? undefined : (pace.slowSince ?? now);
+	if (pace.slowdown <= pace.ownPace || now - pace.ownPaceAt > steadyMilliseconds) {
+		pace.ownPace = pace.slowdown;
+		pace.ownPaceAt = now;
+	}
 }
 
 /**
- * Reckons with the usual speed for now, since the server could not be asked.
+ * Reckons with the server's own pace for now, since it could not be asked.
  *
  * @param pace changed in place
  * @param now monotonic time in milliseconds
  */
 export function assumeUsualSpeed(pace: Pace, now: number): void {
-	pace.slowdown = usualSpeed;
+	pace.slowdown = pace.ownPace;
 	pace.reportedAt = now;
-	pace.slowSince = undefined;
 }
 
 /**
@@ -122,10 +127,10 @@
  *
  * @param pace what is known of the server
  * @param now monotonic time in milliseconds
- * @returns the last report while a slow piece may last, otherwise the usual speed
+ * @returns the last report while a slow piece may last, otherwise the server's own pace
  */
 export function currentSlowdown(pace: Pace, now: number): number {
-	return now - pace.reportedAt <= pieceMilliseconds ? pace.slowdown : usualSpeed;
+	return now - pace.reportedAt <= pieceMilliseconds ? pace.slowdown : pace.ownPace;
 }
 
 /**
@@ -142,12 +147,12 @@
 	usualMilliseconds: number,
 	now: number,
 ): boolean {
-	if (pace.slowSince === undefined || now - pace.slowSince > steadyMilliseconds) {
+	const slowdown = currentSlowdown(pace, now);
+	if (slowdown < pace.ownPace * slowFrom) {
 		return false;
 	}
 
-	const added = usualMilliseconds * (currentSlowdown(pace, now) - usualSpeed);
-	return added > expectedHold();
+	return usualMilliseconds * (slowdown - pace.ownPace) > expectedHold();
 }
 
 /**
@@ -176,7 +181,7 @@
 	now: number,
 ): number {
 	return isWorthHolding(pace, usualMilliseconds, now)
-		? usualMilliseconds
+		? usualMilliseconds * pace.ownPace
 		: usualMilliseconds * currentSlowdown(pace, now);
 }
 
@@ -196,7 +201,8 @@
 	now: number,
 ): number {
 	const mean = pace.durations.get(route) ?? targetMilliseconds * unseenTargetShare;
-	return now < pace.coldUntil ? mean * coldFactor : mean;
+	const isColdUnsaid = now < pace.coldUntil && pace.reportsSpeed === false;
+	return isColdUnsaid ? mean * coldFactor : mean;
 }
 
 /** On average half of a slow piece is over when it is seen. */
--- a/test/waiting/replay.test.ts
+++ b/test/waiting/replay.test.ts
@@ -41,6 +41,13 @@
 	expect(countOnTime(ends)).toBeGreaterThanOrEqual(0.9);
 });
 
+test('a cold server is used at its own pace, and its slow pieces are still waited out', () => {
+	const random = createRandom(seed);
+	const cold = {...noisy, baseSlowdown: 2};
+	const {ends} = simulate(cold, createSearches(12, random), random);
+	expect(countOnTime(ends)).toBeGreaterThan(0.75);
+});
+
 test('the limit settles below the knee of a server that grows slow when nearly full', () => {
 	const random = createRandom(seed);
 	const kneed = {...calmModel, knee: 7, kneeFactor: 1.7};
--- a/test/waiting/simulated-server.ts
+++ b/test/waiting/simulated-server.ts
@@ -24,6 +24,8 @@
 	readonly slowShare: number;
 	readonly slowFactor: number;
 	readonly pieceMilliseconds: number;
+	/** Slowdown outside of slow pieces, as of a server that is cold. */
+	readonly baseSlowdown: number;
 	/** Whether the gate is told the speed. */
 	readonly tellsSpeed: boolean;
 };
@@ -35,6 +37,7 @@
 	slowShare: 0,
 	slowFactor: 1,
 	pieceMilliseconds: 150,
+	baseSlowdown: 1,
 	tellsSpeed: true,
 };
 
@@ -80,7 +83,7 @@
 			pieces.push(random() < model.slowShare);
 		}
 
-		return pieces[piece] ? model.slowFactor : 1;
+		return model.baseSlowdown * (pieces[piece] ? model.slowFactor : 1);
 	};
 
 	const pump = (): void => {
