Count a lasting slowness only as the server's own pace, and split the gate's module

Change: only a slowness without a gap for 450 ms becomes the own pace; the first report of a life does at once. The test of a slow report after a quiet time failed before. The gate's surface and its entries are modules of their own; no behaviour changes there.

--- a/src/relay/call-runner.ts
+++ b/src/relay/call-runner.ts
@@ -15,7 +15,7 @@
 } from '../call/index.js';
 import type {Logger} from '../log/index.js';
 import type {RelayCall} from './call.js';
-import type {RelayGate} from './gate.js';
+import type {RelayGate} from './gate-surface.js';
 import {decideRelayStep, hasArrived, relaySteps, type RelayStep} from './next-step.js';
 import type {Peers} from './peers.js';
 import type {Placer, RatedGate} from './placer.js';
--- a/src/relay/gate-socket.ts
+++ b/src/relay/gate-socket.ts
@@ -7,7 +7,7 @@
 import type {AttemptId} from '../call/index.js';
 import {GateDatagram} from '../generated/gate.js';
 import type {GateReport} from '../placing/index.js';
-import type {LoadQuestion} from './gate.js';
+import type {LoadQuestion} from './gate-surface.js';
 
 /** Where a gate listens for datagrams. */
 export type GateAddress = {readonly host: string; readonly port: number};
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -25,26 +25,17 @@
 	formatAttemptId,
 	outcomes,
 	refusalKinds,
-	type AttemptId,
 	type AttemptResult,
 	type Refusal,
-	type RunningAttempt,
 } from '../call/index.js';
-import type {Logger} from '../log/index.js';
 import {createSpendingWindow, trySpendAmount} from '../measuring/index.js';
 import {
 	createFailures,
 	findFailureShare,
 	learnEnd,
 	type Failures,
-	type GateReport,
 } from '../placing/index.js';
-import {
-	countFirst,
-	createRepeatBudget,
-	trySpendRepeat,
-	type RepeatPolicy,
-} from '../repeats/index.js';
+import {countFirst, createRepeatBudget, trySpendRepeat} from '../repeats/index.js';
 import {
 	assumeUsualSpeed,
 	changeSlots,
@@ -63,89 +54,11 @@
 	type Offer,
 	type QueueState,
 	type Turn,
-	type Work,
 } from '../waiting/index.js';
-import type {RelayAttempt} from './call.js';
-import type {Dialect, ServerHealth} from './dialect.js';
-import {
-	createServerClient,
-	serverEnds,
-	type RunningServerExchange,
-	type ServerResult,
-} from './server-exchange.js';
-
-/** What a request would be, for the question what it would meet here. */
-export type LoadQuestion = {
-	readonly route: string;
-	readonly rank: number;
-	readonly nested: boolean;
-	readonly targetMilliseconds: number;
-};
-
-export type RelayGateOptions = {
-	readonly dialect: Dialect;
-	readonly log: Logger;
-	/** Monotonic time in milliseconds. */
-	readonly now: () => number;
-	/** A number from 0 to below 1. */
-	readonly random: () => number;
-	/** Address and service of the server beside the node. */
-	readonly server: {
-		readonly host: string;
-		readonly port: number;
-		readonly service: string;
-	};
-	readonly maximumConnections: number;
-	/** Health path of the service; undefined while no routes are known. */
-	readonly healthPath: () => string | undefined;
-	/** Questions that the health path may be asked in any second. */
-	readonly probesPerSecond: number;
-	readonly repeats: RepeatPolicy;
-	/** Gates of the service, this one included. */
-	readonly countGates: () => number;
-	/** The slots that the gate offers have changed; zero when it takes nothing new. */
-	readonly onSlots: (slots: number) => void;
-	/** Counts how each attempt ended at this gate. */
-	readonly onEnd: (end: string, milliseconds: number) => void;
-};
-
-export type RelayGateState = {
-	readonly server: ServerRecord | undefined;
-	readonly accepting: boolean;
-	readonly running: number;
-	readonly waiting: number;
-	readonly limit: number;
-	readonly failureShare: number;
-};
-
-export type RelayGate = {
-	readonly run: (attempt: RelayAttempt) => RunningAttempt;
-	/** Tells what a request would meet here now, once the server's speed is known. */
-	readonly report: (question: LoadQuestion) => Promise<GateReport>;
-	/** Cancels an attempt; true only if it never was and never will be handed over. */
-	readonly cancelAttempt: (id: AttemptId) => boolean;
-	/** Looks for the server by its health path, if it has not announced itself yet. */
-	readonly discover: () => void;
-	readonly announce: (announcement: ServerAnnouncement) => AnnouncementVerdict;
-	/** The server with this id says that it ends. */
-	readonly endServer: (id: string) => boolean;
-	/** Whether the request with this id was made by one that runs here. */
-	readonly runsCallerOf: (requestId: string) => boolean;
-	/** Refuses new work from now on. */
-	readonly leave: () => void;
-	readonly state: () => RelayGateState;
-	readonly close: () => void;
-};
-
-type Entry = {
-	readonly key: string;
-	readonly attempt: RelayAttempt;
-	readonly work: Work;
-	readonly settle: (result: AttemptResult) => void;
-	exchange: RunningServerExchange | undefined;
-	cancelled: boolean;
-	startedAt: number;
-};
+import type {ServerHealth} from './dialect.js';
+import {describe, describeWork, type Entry} from './gate-entry.js';
+import type {RelayGate, RelayGateOptions} from './gate-surface.js';
+import {createServerClient, serverEnds, type ServerResult} from './server-exchange.js';
 
 /** How often what waits is looked at: for lost time, and for the server's speed. */
 const pumpIntervalMilliseconds = 15;
@@ -630,27 +543,3 @@
 		},
 	};
 }
-
-function describeWork({id, call}: RelayAttempt, now: number): Work {
-	return {
-		id: formatAttemptId(id),
-		rank: call.rank,
-		route: call.route,
-		nested: call.nested,
-		arrivedAt: now,
-		targetMilliseconds: call.targetMilliseconds,
-		targetAt: call.targetAt,
-		deadlineAt: call.deadlineAt,
-	};
-}
-
-function describe({attempt, work}: Entry): Record<string, unknown> {
-	return {
-		request: attempt.call.requestId,
-		attempt: formatAttemptId(attempt.id),
-		route: work.route,
-		rank: work.rank,
-		nested: work.nested,
-		repeat: attempt.repeat,
-	};
-}
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -2,7 +2,7 @@
 import {createServer, type Server} from 'node:http';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {CallEnd} from './caller-listener.js';
-import type {RelayGateState} from './gate.js';
+import type {RelayGateState} from './gate-surface.js';
 
 export type RelayMetrics = {
 	readonly noteCall: (end: CallEnd) => void;
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -16,7 +16,7 @@
 } from '../placing/index.js';
 import {isWhole} from '../call/index.js';
 import type {RelayCall} from './call.js';
-import type {LoadQuestion, RelayGate} from './gate.js';
+import type {LoadQuestion, RelayGate} from './gate-surface.js';
 import type {AnsweredReport, GateSocket} from './gate-socket.js';
 
 /** Where the node stands. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -24,7 +24,8 @@
 import type {Adapter} from './adapter.js';
 import {createRelayRunner} from './call-runner.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
-import {createRelayGate, type RelayGate} from './gate.js';
+import {createRelayGate} from './gate.js';
+import type {RelayGate} from './gate-surface.js';
 import {openGateSocket, type GateSocket} from './gate-socket.js';
 import {createRelayMetrics, type RelayMetrics} from './metrics.js';
 import {createRelayPeerListener} from './peer-listener.js';
--- a/src/waiting/pace.ts
+++ b/src/waiting/pace.ts
@@ -35,10 +35,12 @@
 	reportsSpeed: boolean | undefined;
 	/** Monotonic time of the last report, in milliseconds. */
 	reportedAt: number;
-	/** The server's own pace: the lowest slowdown of late; above one while it is cold. */
+	/** Slowdown outside of slow pieces; above one while the server is cold. */
 	ownPace: number;
-	/** Monotonic time at which it was last reported, in milliseconds. */
-	ownPaceAt: number;
+	/** Monotonic time since which all reports were slow without a gap, in milliseconds. */
+	slowSince: number | undefined;
+	/** Lowest slowdown since then. */
+	slowFloor: number;
 	/** Monotonic time until which the server is cold, in milliseconds. */
 	coldUntil: number;
 };
@@ -52,7 +54,8 @@
 		reportsSpeed: undefined,
 		reportedAt: Number.NEGATIVE_INFINITY,
 		ownPace: usualSpeed,
-		ownPaceAt: Number.NEGATIVE_INFINITY,
+		slowSince: undefined,
+		slowFloor: usualSpeed,
 		coldUntil: Number.NEGATIVE_INFINITY,
 	};
 }
@@ -91,12 +94,32 @@
 	slowdown: number | undefined,
 	now: number,
 ): void {
+	const isFirst = pace.reportsSpeed === undefined;
+	const isAfterGap = now - pace.reportedAt > pieceMilliseconds;
 	pace.reportsSpeed = slowdown !== undefined;
 	pace.slowdown = slowdown ?? usualSpeed;
 	pace.reportedAt = now;
-	if (pace.slowdown <= pace.ownPace || now - pace.ownPaceAt > steadyMilliseconds) {
+	if (isFirst || pace.slowdown < pace.ownPace * slowFrom) {
 		pace.ownPace = pace.slowdown;
-		pace.ownPaceAt = now;
+		pace.slowSince = undefined;
+		return;
+	}
+
+	followSlowness(pace, isAfterGap, now);
+}
+
+/** A slowness that was seen without a gap for longer than a slow piece lasts is the own pace. */
+function followSlowness(pace: Pace, isAfterGap: boolean, now: number): void {
+	if (pace.slowSince === undefined || isAfterGap) {
+		pace.slowSince = now;
+		pace.slowFloor = pace.slowdown;
+		return;
+	}
+
+	pace.slowFloor = Math.min(pace.slowFloor, pace.slowdown);
+	if (now - pace.slowSince > steadyMilliseconds) {
+		pace.ownPace = pace.slowFloor;
+		pace.slowSince = undefined;
 	}
 }
 
--- a/test/waiting/queue.test.ts
+++ b/test/waiting/queue.test.ts
@@ -41,6 +41,24 @@
 	expect(takeTurns(queue, 500).started).toEqual(['a']);
 });
 
+test('a slow report after a quiet time is a slow piece, not the pace of the server', () => {
+	const queue = createFreshQueue(2);
+	reportSlowdown(queue.pace, 5, 900);
+	offerWork(queue, createWork('a', 900), 900);
+	const turn = takeTurns(queue, 900);
+	expect([turn.started, turn.holds]).toEqual([[], true]);
+});
+
+test('a slowness that lasts is the pace of the server', () => {
+	const queue = createFreshQueue(2);
+	for (let now = 900; now < 1500; now += 20) {
+		reportSlowdown(queue.pace, 3, now);
+	}
+
+	offerWork(queue, createWork('a', 1480), 1480);
+	expect(takeTurns(queue, 1480).started).toEqual(['a']);
+});
+
 test('calls of running requests go first, then rank, then the earlier target', () => {
 	const always = () => true;
 	const works = [
