--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -4,6 +4,7 @@
  */
 import {createServer, type Server} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Effect, type Scope} from 'effect';
 import {formatIngress} from '../call/index.js';
 import {closeToNewConnections} from '../http/index.js';
@@ -403,9 +404,7 @@
 			void membership.leave();
 		}
 
-		await new Promise<void>(resolve => {
-			setTimeout(resolve, stopCheckMilliseconds);
-		});
+		await sleep(stopCheckMilliseconds);
 	}
 
 	await closeToNewConnections(parts.callers.server);
--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -2,6 +2,7 @@
  * Keeps the routes of a node up to date: reads them from the table, and follows their changes
  * there with one long question at a time.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Result} from 'neverthrow';
 import type {Logger} from '../log/index.js';
 import type {RoutesHolder} from './routes-in-force.js';
@@ -135,9 +136,3 @@
 		},
 	};
 }
-
-async function sleep(milliseconds: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/src/relay/routes-from-peers.ts
+++ b/src/relay/routes-from-peers.ts
@@ -4,6 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {request as sendRequest} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {collectWhole} from '../http/index.js';
 import type {Logger} from '../log/index.js';
 import type {Member, Membership} from '../membership/index.js';
@@ -111,9 +112,3 @@
 		request.end();
 	});
 }
-
-async function sleep(milliseconds: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
