--- /dev/null
+++ b/test/platform/adapter.test.ts
@@ -0,0 +1,96 @@
+/** The adapter: the platform's documents, headers and statuses as the product's types. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {dialect} from '../../platform/dialect.js';
+import {decodeRouteDocument} from '../../platform/route-document.js';
+import {createRefusal, outcomes, refusalKinds} from '../../src/call/index.js';
+import {createConfiguration} from '../support/relay-mesh.js';
+
+test('a document becomes a route table', () => {
+	const table = decodeRouteDocument(JSON.stringify(createConfiguration(12)));
+	const value = table._unsafeUnwrap();
+	expect(value.version).toEqual(12);
+	expect(value.routes.map(({name, idempotent}) => [name, idempotent])).toEqual([
+		['search', true],
+		['book', false],
+	]);
+	expect(value.limits.idleMilliseconds).toEqual(15_000);
+});
+
+const faulty: ReadonlyArray<readonly [string, string]> = [
+	['bytes that are no JSON', '{'],
+	['a version that is no number', JSON.stringify({version: 'latest', hosts: []})],
+	['hosts of another type', JSON.stringify({version: 'r3', hosts: 'none'})],
+];
+for (const [name, text] of faulty) {
+	test(`${name} changes nothing`, () => {
+		expect(decodeRouteDocument(text).isErr()).toEqual(true);
+	});
+}
+
+test('the server is told the true origin, deadline and server, whatever the caller sent', () => {
+	const received = [
+		'X-Caller-Service',
+		'forged',
+		'X-Request-Deadline',
+		'99999',
+		'X-Target-Instance',
+		'forged',
+		'X-Request-Id',
+		'one',
+	];
+	const sent = dialect.listServerHeaders(received, {
+		serverId: 'server-1',
+		originService: 'bookings',
+		remainingMilliseconds: 250,
+	});
+	expect(sent).toEqual([
+		'X-Request-Id',
+		'one',
+		'X-Request-Deadline',
+		'250',
+		'X-Caller-Service',
+		'bookings',
+		'X-Target-Instance',
+		'server-1',
+	]);
+});
+
+test('the load header gives the slowdown, and nothing where it has no such figure', () => {
+	const read = (load: string) =>
+		dialect.readServerAnswer(200, ['X-Instance-Load', load]).slowdown;
+	expect(
+		['1,0,9,500', '1,0,9,100', '1,0,9', 'unreadable'].map(load => read(load)),
+	).toEqual([5, 1, undefined, undefined]);
+});
+
+const statuses: ReadonlyArray<
+	readonly [keyof typeof refusalKinds, keyof typeof outcomes, number]
+> = [
+	['overloaded', 'notRun', 429],
+	['noServer', 'notRun', 503],
+	['leaving', 'notRun', 503],
+	['notReady', 'notRun', 503],
+	['deadlineExceeded', 'notRun', 503],
+	['unknownService', 'notRun', 404],
+	['overloaded', 'unknown', 502],
+	['noServer', 'unknown', 502],
+	['serverFailed', 'unknown', 502],
+	['deadlineExceeded', 'unknown', 504],
+];
+for (const [kind, outcome, status] of statuses) {
+	test(`${kind} with outcome ${outcome} is status ${status}`, () => {
+		const refusal = createRefusal(refusalKinds[kind], 'refused');
+		expect(dialect.statusOf(refusal, outcomes[outcome])).toEqual(status);
+	});
+}
+
+test('a pause is told in seconds with fractions', () => {
+	const refusal = createRefusal(refusalKinds.overloaded, 'full', 85);
+	expect(dialect.listRefusalHeaders('one', refusal)).toEqual([
+		'X-Request-Id',
+		'one',
+		'Retry-After',
+		'0.085',
+	]);
+});
