--- a/src/relay/call-runner.ts
+++ b/src/relay/call-runner.ts
@@ -194,7 +194,7 @@
 		};
 	};
 
-	/** A streamed body is bounded by its progress, not by the deadline. */
+	/** The deadline holds for streamed bodies as well: the route states how long a caller is kept. */
 	function expire(state: CallUnderWay): void {
 		const mayHaveRun = state.mayHaveRun || state.running !== undefined;
 		state.running?.cancel();
