Follow the table on one node a failure domain, serve no call that may outlast a stop, and soak the relay

Now one node a failure domain follows the table, the others take the routes from it when the gossip tells of a version, and ask again until they have it.

The fault soak (soak/) runs relay nodes as processes beside stand-ins, with faults drawn from a seed.

--- /dev/null
+++ b/soak/strike.ts
@@ -0,0 +1,160 @@
+/** Carries the drawn faults out on the places and the store, and undoes them when their time is up. */
+import {cuts, type LinkQuality, type Relay} from '../stand-ins/relay/relay.js';
+import {serverBehaviours, type ServerBehaviour} from '../stand-ins/platform/server.js';
+import type {StandInStore} from '../stand-ins/platform/store.js';
+import {createConfiguration} from '../test/support/relay-mesh.js';
+import type {Disturbance, StoredVersion} from './checks.js';
+import {faultKinds, isDisturbance, type Fault, type FaultKind} from './faults.js';
+import {pause, type Place} from './node-process.js';
+
+const delayMilliseconds = 120;
+const storeDelayMilliseconds = 250;
+const calmLink: LinkQuality = {delayMilliseconds: 0, bytesPerSecond: 0, cut: cuts.none};
+
+export type World = {
+	readonly places: readonly Place[];
+	readonly store: StandInStore;
+	/** Milliseconds of the run's clock. */
+	readonly now: () => number;
+	readonly versions: StoredVersion[];
+	readonly disturbances: Disturbance[];
+};
+
+/** Stores a configuration that adds a route; the routes of the versions before stay. */
+export function storeNextVersion({store, versions, now}: World): void {
+	const version = versions.length + 2;
+	const prefixes = Array.from(
+		{length: version - 1},
+		(_, index) => `/since-${index + 2}/`,
+	);
+	store.putConfiguration(createConfiguration(version, ...prefixes));
+	versions.push({version, at: now()});
+}
+
+/**
+ * Carries a fault out.
+ *
+ * @param world the places and the store
+ * @param fault what happens
+ * @returns resolves when the fault is over
+ */
+export async function strike(world: World, fault: Fault): Promise<void> {
+	const from = world.now();
+	const ofAll = storeKinds.has(fault.kind);
+	const disturbance = {
+		from,
+		until: Number.POSITIVE_INFINITY,
+		target: ofAll ? undefined : fault.target,
+	};
+	// A disturbed node or server is felt by the callers of every node that sends work there.
+	if (isDisturbance(fault.kind)) {
+		world.disturbances.push({...disturbance, target: undefined});
+	} else if (fault.kind === faultKinds.stopNode) {
+		world.disturbances.push(disturbance);
+	}
+
+	const place = world.places[fault.target]!;
+	await strikes[fault.kind]({world, place, milliseconds: fault.milliseconds});
+	const last = world.disturbances.findLastIndex(entry => entry.from === from);
+	if (last !== -1) {
+		world.disturbances[last] = {...world.disturbances[last]!, until: world.now()};
+	}
+}
+
+type Strike = {
+	readonly world: World;
+	readonly place: Place;
+	readonly milliseconds: number;
+};
+
+const storeKinds: ReadonlySet<FaultKind> = new Set([
+	faultKinds.refuseAtStore,
+	faultKinds.slowStore,
+	faultKinds.loseStoreAnswers,
+]);
+
+const strikes: Readonly<Record<FaultKind, (strike: Strike) => Promise<void>>> = {
+	[faultKinds.stopNode]: async ({place}) => place.restartNode('SIGTERM'),
+	[faultKinds.killNode]: async ({place}) => place.restartNode('SIGKILL'),
+	async [faultKinds.reloadNode]({place}) {
+		place.signalNode('SIGHUP');
+	},
+	[faultKinds.replaceServer]: async ({place}) => place.replaceServer(),
+	async [faultKinds.changeConfiguration]({world}) {
+		storeNextVersion(world);
+	},
+	async [faultKinds.pauseNode]({place, milliseconds}) {
+		place.signalNode('SIGSTOP');
+		await pause(milliseconds);
+		place.signalNode('SIGCONT');
+	},
+	async [faultKinds.jumpClock]({place, milliseconds}) {
+		place.signalNode('SIGUSR2');
+		await pause(milliseconds);
+		place.signalNode('SIGUSR2');
+	},
+	[faultKinds.delayNode]: async strike =>
+		spoilLinks(strike.place.nodeLinks, {delayMilliseconds}, strike),
+	[faultKinds.resetNode]: async strike =>
+		spoilLinks(strike.place.nodeLinks, {cut: cuts.reset}, strike),
+	[faultKinds.silenceNode]: async strike =>
+		spoilLinks(strike.place.nodeLinks, {cut: cuts.silent}, strike),
+	[faultKinds.cutAnswersOfNode]: async strike =>
+		spoilLinks(strike.place.nodeLinks, {cut: cuts.answers}, strike),
+	[faultKinds.crashServer]: async ({place, milliseconds}) =>
+		place.crashServer(milliseconds),
+	[faultKinds.slowServer]: async strike => spoilServer(serverBehaviours.slow, strike),
+	[faultKinds.shedServer]: async strike => spoilServer(serverBehaviours.shed, strike),
+	[faultKinds.failServer]: async strike => spoilServer(serverBehaviours.fail, strike),
+	[faultKinds.breakServer]: async strike =>
+		spoilServer(serverBehaviours.breakOff, strike),
+	[faultKinds.confuseServer]: async strike =>
+		spoilServer(serverBehaviours.confuse, strike),
+	[faultKinds.muteServer]: async strike => spoilServer(serverBehaviours.mute, strike),
+	[faultKinds.resetServer]: async strike =>
+		spoilLinks([strike.place.serverLink], {cut: cuts.reset}, strike),
+	[faultKinds.silenceServer]: async strike =>
+		spoilLinks([strike.place.serverLink], {cut: cuts.silent}, strike),
+	async [faultKinds.refuseAtStore]({world, milliseconds}) {
+		world.store.setAway(true);
+		await pause(milliseconds);
+		world.store.setAway(false);
+	},
+	async [faultKinds.slowStore]({world, milliseconds}) {
+		world.store.setDelay(storeDelayMilliseconds);
+		await pause(milliseconds);
+		world.store.setDelay(0);
+	},
+	[faultKinds.silenceStore]: async strike =>
+		spoilLinks([strike.place.storeLink], {cut: cuts.silent}, strike),
+	async [faultKinds.loseStoreAnswers]({world, milliseconds}) {
+		world.store.setLosingAnswers(true);
+		await pause(milliseconds);
+		world.store.setLosingAnswers(false);
+	},
+};
+
+async function spoilLinks(
+	links: readonly Relay[],
+	quality: Partial<LinkQuality>,
+	{milliseconds}: Strike,
+): Promise<void> {
+	for (const link of links) {
+		link.set(quality);
+	}
+
+	await pause(milliseconds);
+	for (const link of links) {
+		link.set(calmLink);
+	}
+}
+
+async function spoilServer(
+	behaviour: ServerBehaviour,
+	{place, milliseconds}: Strike,
+): Promise<void> {
+	const server = place.server();
+	server.behave(behaviour);
+	await pause(milliseconds);
+	server.behave(serverBehaviours.well);
+}
--- a/src/configuration/surroundings.ts
+++ b/src/configuration/surroundings.ts
@@ -1,8 +1,7 @@
 /** The fleet as a follower needs it: how many nodes there are, and whom to compare with. */
-import {memberStatuses, type Member} from '../membership/index.js';
+import {isPoller, memberStatuses, type Member} from '../membership/index.js';
 import type {ConfigurationOptions} from './configuration.js';
 import type {Surroundings} from './follower-state.js';
-import {isPoller} from './pollers.js';
 
 const pollersPerDomain = 2;
 const maximumPartners = 3;
--- a/src/configuration/pollers.ts
+++ b/src/membership/pollers.ts
@@ -4,7 +4,7 @@
  * same view of the members agree, and when one dies the next takes its turn.
  */
 import {createHash} from 'node:crypto';
-import {memberStatuses, type Member} from '../membership/index.js';
+import {memberStatuses, type Member} from './member.js';
 
 type Candidate = Pick<Member, 'nodeId' | 'failureDomain' | 'status'>;
 
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -64,8 +64,11 @@
 export type CallerListener = {
 	/** The caller binds it. */
 	readonly server: Server;
-	/** From now on each answer closes its connection, so that callers go elsewhere. */
-	readonly leave: () => void;
+	/**
+	 * From now on each answer closes its connection, so that callers go elsewhere, and a request
+	 * that may last beyond the monotonic time of the end is refused.
+	 */
+	readonly leave: (endsAt: number) => void;
 	readonly countInFlight: () => number;
 	/** Monotonic time of the last request. */
 	readonly lastRequestAt: () => number;
@@ -79,6 +82,8 @@
 const headLimitBytes = 65_536;
 /** When a node without routes is worth asking again, in milliseconds. */
 const notReadyMilliseconds = 300;
+/** When a caller of a node that stops is worth sending again, in milliseconds. */
+const leavingMilliseconds = 300;
 
 /**
  * Creates the listener.
@@ -99,7 +104,7 @@
 	const openCalls = createOpenCalls();
 	const shares = createShareState();
 	let inFlight = 0;
-	let leaving = false;
+	let endsAt = Number.POSITIVE_INFINITY;
 	let lastRequestAt = now();
 
 	function receive(request: IncomingMessage, response: ServerResponse): void {
@@ -110,7 +115,7 @@
 		response.once('close', () => {
 			inFlight -= 1;
 		});
-		if (leaving) {
+		if (endsAt < Number.POSITIVE_INFINITY) {
 			response.shouldKeepAlive = false;
 		}
 
@@ -153,6 +158,17 @@
 		inForce: RoutesInForce,
 	): void {
 		const call = createCall(request, received);
+		if (call.deadlineAt > endsAt) {
+			const message = 'this node stops before an answer is sure: send it to another node';
+			const pause = leavingMilliseconds;
+			refuse(
+				response,
+				received.head,
+				createRefusal(refusalKinds.leaving, message, pause),
+			);
+			return;
+		}
+
 		log.info('call received', {
 			request: call.requestId,
 			route: call.route,
@@ -279,8 +295,8 @@
 	});
 	return {
 		server,
-		leave() {
-			leaving = true;
+		leave(end) {
+			endsAt = end;
 		},
 		countInFlight: () => inFlight,
 		lastRequestAt: () => lastRequestAt,
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -18,6 +18,7 @@
 import {
 	createMembership,
 	createSeedTable,
+	isPoller,
 	memberStatuses,
 	type Membership,
 	type MembershipError,
@@ -36,7 +37,7 @@
 import {routesTopic, takeRoutesFromPeers} from './routes-from-peers.js';
 import {createRoutesHolder, type RoutesHolder} from './routes-in-force.js';
 import {splitAddress, type RelaySettings} from './settings.js';
-import {decideStopStep, stopSteps} from './stop.js';
+import {decideStopStep, findEnd, stopSteps} from './stop.js';
 
 /** A relay that runs. */
 export type RunningRelay = {
@@ -65,6 +66,10 @@
 };
 /** Upper bound of what one datagram takes to encode or decode, in microseconds. */
 const datagramMicroseconds = 20;
+/** Nodes that follow the routes in each failure domain; the domains stand in for each other. */
+const pollersPerDomain = 1;
+/** Time in which a started node learns of the others, so that not all of them poll meanwhile. */
+const pollerSettleMilliseconds = 2000;
 const stopCheckMilliseconds = 50;
 const answerWeight = 0.1;
 
@@ -92,14 +97,21 @@
 			source: adapter.routeSource,
 			holder: parts.holder,
 			log,
+			isPoller: parts.isPoller,
 			random: Math.random,
 		});
 		const membership = yield* joinRelays(settings, adapter, incarnation);
 		parts.attach(membership);
-		takeRoutesFromPeers({holder: parts.holder, membership, log});
+		const fromPeers = takeRoutesFromPeers({
+			holder: parts.holder,
+			membership,
+			log,
+			random: Math.random,
+		});
 		yield* Effect.addFinalizer(() =>
 			Effect.sync(() => {
 				follower.close();
+				fromPeers.close();
 				parts.close();
 				socket.close();
 				adapter.table.close();
@@ -126,7 +138,10 @@
 	readonly attach: (membership: Membership) => void;
 	readonly openSocket: () => Promise<GateSocket>;
 	readonly isReady: () => boolean;
-	readonly setLeaving: () => void;
+	/** Whether this node follows the table for its failure domain. */
+	readonly isPoller: () => boolean;
+	/** Callers are told, and refused what may last beyond the monotonic time of the end. */
+	readonly setLeaving: (endsAt: number) => void;
 	readonly dump: () => Record<string, unknown>;
 	readonly close: () => void;
 };
@@ -141,6 +156,7 @@
 	const {dialect} = adapter;
 	const meter = createMeasuringMeter(settings.measuring);
 	const answerBytes = new Map<string, number>();
+	const createdAt = now();
 	let membership: Membership | undefined;
 	let socket: GateSocket | undefined;
 	let leaving = false;
@@ -268,7 +284,7 @@
 		},
 		async openSocket() {
 			socket = await openGateSocket({
-				address: {host: listeners.host, port: listeners.peer},
+				address: {host: listeners.bind ?? listeners.host, port: listeners.peer},
 				now,
 				report: gate.report,
 				cancelAttempt: gate.cancelAttempt,
@@ -281,9 +297,16 @@
 			return socket;
 		},
 		isReady: () => !leaving && holder.current() !== undefined,
-		setLeaving() {
+		isPoller: () =>
+			now() - createdAt > pollerSettleMilliseconds &&
+			isPoller(
+				{nodeId: node.id, failureDomain: node.failureDomain},
+				membership?.all() ?? [],
+				pollersPerDomain,
+			),
+		setLeaving(endsAt) {
 			leaving = true;
-			callers.leave();
+			callers.leave(endsAt);
 		},
 		close() {
 			gate.close();
@@ -321,6 +344,7 @@
 			failureDomain: node.failureDomain,
 			slots: 0,
 		},
+		listenHost: listeners.bind ?? listeners.host,
 		seeds: settings.seeds,
 		now,
 		random: Math.random,
@@ -336,7 +360,7 @@
 	parts: Parts,
 ): Effect.Effect<Server[], RelayStartError> {
 	const {listeners} = settings;
-	const own = (port: number) => ({host: listeners.host, port});
+	const own = (port: number) => ({host: listeners.bind ?? listeners.host, port});
 	const bindings: ReadonlyArray<readonly [Server, {host: string; port: number}]> = [
 		[parts.callers.server, splitAddress(listeners.callers)],
 		[createReadinessListener(parts.isReady), splitAddress(listeners.readiness)],
@@ -383,7 +407,7 @@
 	log: EventLog,
 ): Promise<void> {
 	const startedAt = now();
-	parts.setLeaving();
+	parts.setLeaving(findEnd(startedAt, settings.stop.graceMilliseconds));
 	log.info('node stopping', {inFlight: parts.callers.countInFlight()});
 	let isDraining = false;
 	for (;;) {
--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -1,6 +1,7 @@
 /**
- * Keeps the routes of a node up to date: reads them from the table, and follows their changes
- * there with one long question at a time.
+ * Keeps the routes of a node up to date: every node reads them from the table once, and a few
+ * follow their changes there with one long question at a time. The others learn of a change from
+ * those by gossip, so that the calls to the table do not grow with the fleet.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Result} from 'neverthrow';
@@ -41,6 +42,8 @@
 	readonly source: RouteSource;
 	readonly holder: RoutesHolder;
 	readonly log: Logger;
+	/** Whether this node is one of those that follow the table at this moment. */
+	readonly isPoller: () => boolean;
 	/** A number from 0 to below 1. */
 	readonly random: () => number;
 };
@@ -52,6 +55,9 @@
 /** Pauses after a question that failed, in milliseconds. */
 const shortestPauseMilliseconds = 200;
 const longestPauseMilliseconds = 2000;
+/** How often a node looks whether it has become a poller; short beside a change's time bound. */
+const dutyCheckMilliseconds = 250;
+
 /**
  * Follows the routes until it is closed.
  *
@@ -105,6 +111,11 @@
 	async function follow(): Promise<void> {
 		let position = await readPosition();
 		while (!life.isClosed && position !== undefined) {
+			if (!options.isPoller()) {
+				await sleep(dutyCheckMilliseconds);
+				continue;
+			}
+
 			const change = await source.awaitChange(position, waitMilliseconds);
 			if (change.isOk()) {
 				noteAnswer();
--- a/src/relay/routes-from-peers.ts
+++ b/src/relay/routes-from-peers.ts
@@ -7,7 +7,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {collectWhole} from '../http/index.js';
 import type {Logger} from '../log/index.js';
-import type {Member, Membership} from '../membership/index.js';
+import {memberStatuses, type Member, type Membership} from '../membership/index.js';
 import {routesPath} from './peer-listener.js';
 import type {RoutesHolder} from './routes-in-force.js';
 
@@ -15,23 +15,34 @@
 	readonly holder: RoutesHolder;
 	readonly membership: Pick<Membership, 'onVersion' | 'versionOf' | 'all' | 'self'>;
 	readonly log: Logger;
+	/** A number from 0 to below 1. */
+	readonly random: () => number;
+	/** Reads the routes that another node has in force; undefined when it gives none. */
+	readonly fetch?: (member: Member) => Promise<string | undefined>;
 };
 
+/** Ends the taking of routes. */
+export type RoutesFromPeers = {readonly close: () => void};
+
 /** Gossip topic of the version of the routes. */
 export const routesTopic = 'routes';
-/** Time in which a version that others have usually comes by itself, in milliseconds. */
-const gossipHeadStartMilliseconds = 150;
+/** Spreads the nodes that hear of a version at once, in milliseconds. */
+const longestHeadStartMilliseconds = 100;
+/** Pause before all holders are asked again, in milliseconds. */
+const retryMilliseconds = 300;
 const peerTimeoutMilliseconds = 500;
-/** Nodes that are asked for a version before the next news of it is awaited. */
+/** Nodes that are asked for a version before the next pause. */
 const peerTries = 5;
 
 /**
- * Takes newer routes from other nodes for as long as the membership lives.
+ * Takes newer routes from other nodes until it is closed.
  *
  * @param options the holder, the other nodes and the log
+ * @returns what ends it
  */
-export function takeRoutesFromPeers(options: RoutesFromPeersOptions): void {
-	const {holder, membership, log} = options;
+export function takeRoutesFromPeers(options: RoutesFromPeersOptions): RoutesFromPeers {
+	const {holder, membership, log, random, fetch = fetchRoutes} = options;
+	const life = {isClosed: false};
 	let isCatchingUp = false;
 
 	function isBehind(): boolean {
@@ -39,19 +50,13 @@
 		return known > (holder.current()?.table.version ?? 0);
 	}
 
-	async function catchUp(from: string): Promise<void> {
-		if (isCatchingUp) {
-			return;
-		}
-
-		isCatchingUp = true;
-		await sleep(gossipHeadStartMilliseconds);
+	async function askHolders(from: string): Promise<void> {
 		for (const member of listHolders(membership, from).slice(0, peerTries)) {
 			if (!isBehind()) {
-				break;
+				return;
 			}
 
-			const text = await fetchRoutes(member);
+			const text = await fetch(member);
 			if (text === undefined) {
 				log.info('peer gave no routes', {peer: member.nodeId});
 				continue;
@@ -59,6 +64,21 @@
 
 			holder.take(text, member.nodeId);
 		}
+	}
+
+	async function catchUp(from: string): Promise<void> {
+		if (isCatchingUp) {
+			return;
+		}
+
+		isCatchingUp = true;
+		await sleep(longestHeadStartMilliseconds * random());
+		while (isBehind() && !life.isClosed) {
+			await askHolders(from);
+			if (isBehind()) {
+				await sleep(retryMilliseconds * (0.5 + random()));
+			}
+		}
 
 		isCatchingUp = false;
 	}
@@ -68,21 +88,34 @@
 			void catchUp(from);
 		}
 	});
+	return {
+		close() {
+			life.isClosed = true;
+		},
+	};
 }
 
-/** The node that told of a version comes first; any other may have it as well. */
+/**
+ * Orders the nodes that may have a version: the one that told of it, then those of the own failure
+ * domain, where bytes cost nothing and one node follows the table, then the others.
+ */
 function listHolders(
 	membership: Pick<Membership, 'all' | 'self'>,
 	from: string,
 ): Member[] {
-	const self = membership.self().nodeId;
-	const others = membership
+	const {nodeId: ownId, failureDomain} = membership.self();
+	const nearness = (member: Member): number => {
+		if (member.nodeId === from) {
+			return 0;
+		}
+
+		return member.failureDomain === failureDomain ? 1 : 2;
+	};
+
+	return membership
 		.all()
-		.filter(({nodeId, status}) => nodeId !== self && status !== 'dead');
-	return [
-		...others.filter(({nodeId}) => nodeId === from),
-		...others.filter(({nodeId}) => nodeId !== from),
-	];
+		.filter(({nodeId, status}) => nodeId !== ownId && status !== memberStatuses.dead)
+		.toSorted((left, right) => nearness(left) - nearness(right));
 }
 
 /** Asks a node for its routes; undefined when it has none or does not answer in time. */
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -27,7 +27,10 @@
 		readiness: z.string().min(1),
 		/** For what the server beside the node says of itself. */
 		announcements: z.string().min(1),
+		/** Where other nodes reach this one. */
 		host: z.string().min(1),
+		/** Address to listen at for other nodes, where it differs from the one they use. */
+		bind: z.string().min(1).optional(),
 		/** For other nodes: attempts over TCP, questions over UDP. */
 		peer: port,
 		/** Gossip over UDP. */
--- a/src/relay/stop.ts
+++ b/src/relay/stop.ts
@@ -1,7 +1,8 @@
 /**
  * The planned stop of a relay node. Callers are told first and still served; then the gate takes
  * nothing new, so that the capacity of its server is used as long as possible; the process ends
- * when nothing is in flight and no caller comes any more, or at the end of its grace.
+ * when nothing is in flight and no caller comes any more, or at the end of its grace. A caller that
+ * comes in spite of that is served only if its answer is sure to come before the end.
  */
 
 /** How a node stands while it stops. */
@@ -33,6 +34,17 @@
 /** Time kept back to close listeners and write the log. */
 const closeMilliseconds = 500;
 
+/**
+ * Tells when a process that was asked to stop ends at the latest.
+ *
+ * @param stoppingSince monotonic time at which it was asked, in milliseconds
+ * @param graceMilliseconds time that it is given
+ * @returns monotonic milliseconds
+ */
+export function findEnd(stoppingSince: number, graceMilliseconds: number): number {
+	return stoppingSince + graceMilliseconds - closeMilliseconds;
+}
+
 /**
  * Decides how a stop goes on.
  *
@@ -41,7 +53,7 @@
  */
 export function decideStopStep(progress: StopProgress): StopStep {
 	const {elapsedMilliseconds, graceMilliseconds, inFlight} = progress;
-	if (elapsedMilliseconds >= graceMilliseconds - closeMilliseconds) {
+	if (elapsedMilliseconds >= findEnd(0, graceMilliseconds)) {
 		return stopSteps.end;
 	}
 
--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -1,6 +1,7 @@
 /**
  * A stand-in for a server on the platform: it announces itself to its node, tells its load and
- * speed, runs requests for a while, and can drain, slow down, or reset connections in the middle.
+ * speed, runs requests for a while, and can drain, end, misbehave, or reset connections in the
+ * middle.
  */
 import {
 	createServer,
@@ -17,6 +18,25 @@
 	readonly workMilliseconds: number;
 };
 
+/** How a server treats the requests that it gets. */
+export const serverBehaviours = {
+	well: 'well',
+	/** Work takes five times as long. */
+	slow: 'slow',
+	/** Says that it did not run the request. */
+	shed: 'shed',
+	/** Runs the request and answers with a failure. */
+	fail: 'fail',
+	/** Runs the request and breaks the answer off. */
+	breakOff: 'break-off',
+	/** Runs the request and answers in the name of another. */
+	confuse: 'confuse',
+	/** Runs the request and never answers. */
+	mute: 'mute',
+} as const;
+
+export type ServerBehaviour = (typeof serverBehaviours)[keyof typeof serverBehaviours];
+
 /** A request as the server got it. */
 export type SeenRequest = {
 	readonly requestId: string;
@@ -34,13 +54,18 @@
 	readonly announceTo: (host: string, port: number, address: string) => void;
 	/** Says that it drains; resolves with the status of the answer. */
 	readonly drain: () => Promise<number>;
+	/** Says that it ends; resolves with the status of the answer. */
+	readonly sayGoodbye: () => Promise<number>;
+	readonly behave: (behaviour: ServerBehaviour) => void;
 	/** Resets connections in the middle of requests whose path contains this. */
 	readonly resetOn: (path: string) => void;
-	readonly close: () => void;
+	/** Ends at once; resolves when its port is free. */
+	readonly close: () => Promise<void>;
 };
 
 const heartbeatMilliseconds = 200;
 const usualSpeed = 100;
+const slowFactor = 5;
 
 /** @returns a server that has not announced itself */
 export function createPlatformServer(
@@ -52,12 +77,20 @@
 		sequence: 0,
 		running: 0,
 		reset: '',
+		behaviour: serverBehaviours.well as ServerBehaviour,
 		place: undefined as Place | undefined,
 	};
 	let timer: NodeJS.Timeout | undefined;
 
 	function run(request: IncomingMessage, response: ServerResponse): void {
 		const requestId = String(request.headers['x-request-id']);
+		request.resume();
+		if (state.behaviour === serverBehaviours.shed) {
+			response.writeHead(503, {'x-request-id': requestId, 'x-not-executed': 'full'});
+			response.end();
+			return;
+		}
+
 		seen.push({
 			requestId,
 			at: Date.now(),
@@ -66,7 +99,7 @@
 			target: String(request.headers['x-target-instance']),
 		});
 		state.running += 1;
-		request.resume();
+		const factor = state.behaviour === serverBehaviours.slow ? slowFactor : 1;
 		setTimeout(() => {
 			state.running -= 1;
 			if (state.reset !== '' && request.url!.includes(state.reset)) {
@@ -74,15 +107,32 @@
 				return;
 			}
 
-			const body = `answer to ${requestId}`;
-			response.writeHead(200, {
-				'x-request-id': requestId,
-				'x-response-seal': `seal-${requestId}`,
-				'x-instance-load': describeLoad(),
-				'content-length': body.length,
+			answer(requestId, response);
+		}, options.workMilliseconds * factor);
+	}
+
+	function answer(requestId: string, response: ServerResponse): void {
+		const {behaviour} = state;
+		if (behaviour === serverBehaviours.mute) {
+			return;
+		}
+
+		const id = behaviour === serverBehaviours.confuse ? `${requestId}-other` : requestId;
+		const body = `answer to ${id}`;
+		response.writeHead(behaviour === serverBehaviours.fail ? 500 : 200, {
+			'x-request-id': id,
+			'x-response-seal': `seal-${id}`,
+			'x-instance-load': describeLoad(),
+			'content-length': body.length,
+		});
+		if (behaviour === serverBehaviours.breakOff) {
+			response.write(body.slice(0, -1), () => {
+				response.destroy();
 			});
-			response.end(body);
-		}, options.workMilliseconds);
+			return;
+		}
+
+		response.end(body);
 	}
 
 	function describeLoad(): string {
@@ -96,7 +146,7 @@
 		}
 
 		state.sequence += 1;
-		const body = JSON.stringify({
+		return tell(place, `/Instances.Heartbeat/${options.id}`, {
 			addr: place.address,
 			born,
 			info: {
@@ -107,25 +157,6 @@
 			},
 			status: {state: status, sequence: state.sequence, 'warmup-ms': 0},
 		});
-		return new Promise(resolve => {
-			const request = sendRequest(
-				{
-					host: place.host,
-					port: place.port,
-					method: 'POST',
-					path: `/Instances.Heartbeat/${options.id}`,
-					agent: false,
-				},
-				response => {
-					response.resume();
-					resolve(response.statusCode!);
-				},
-			);
-			request.on('error', () => {
-				resolve(0);
-			});
-			request.end(body);
-		});
 	}
 
 	const server = createServer((request, response) => {
@@ -155,15 +186,46 @@
 			clearInterval(timer);
 			return beat('draining');
 		},
+		async sayGoodbye() {
+			clearInterval(timer);
+			return state.place === undefined
+				? 0
+				: tell(state.place, `/Instances.Deregister/${options.id}`, {});
+		},
+		behave(behaviour) {
+			state.behaviour = behaviour;
+		},
 		resetOn(path) {
 			state.reset = path;
 		},
-		close() {
+		async close() {
 			clearInterval(timer);
-			server.close();
+			const closed = new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
 			server.closeAllConnections();
+			await closed;
 		},
 	};
 }
 
+/** Sends a message to the node; status 0 stands for one that was not answered. */
+async function tell({host, port}: Place, path: string, body: unknown): Promise<number> {
+	return new Promise(resolve => {
+		const request = sendRequest(
+			{host, port, method: 'POST', path, agent: false},
+			response => {
+				response.resume();
+				resolve(response.statusCode!);
+			},
+		);
+		request.on('error', () => {
+			resolve(0);
+		});
+		request.end(JSON.stringify(body));
+	});
+}
+
 type Place = {readonly host: string; readonly port: number; readonly address: string};
--- a/stand-ins/platform/store.ts
+++ b/stand-ins/platform/store.ts
@@ -23,13 +23,17 @@
 	/** Puts a configuration document, as an operator does. */
 	readonly putConfiguration: (document: unknown) => void;
 	readonly setAway: (away: boolean) => void;
+	/** Delays each answer; 0 for none. */
+	readonly setDelay: (milliseconds: number) => void;
+	/** Performs each call and breaks its connection in place of an answer. */
+	readonly setLosingAnswers: (isLosing: boolean) => void;
 };
 
 /** @returns a store without rows */
 export function createStandInStore(): StandInStore {
 	const rows = new Map<string, Row>();
 	const waiting = new Set<() => void>();
-	const state = {version: 0, away: false};
+	const state = {version: 0, away: false, delay: 0, isLosing: false};
 
 	function put(entry: Entry & {readonly value: string}): void {
 		state.version += 1;
@@ -92,6 +96,18 @@
 		answer(response, 200, {ver: state.version});
 	}
 
+	function answer(response: ServerResponse, status: number, body: unknown): void {
+		setTimeout(() => {
+			if (state.isLosing) {
+				response.destroy();
+				return;
+			}
+
+			response.writeHead(status, {'content-type': 'application/json'});
+			response.end(JSON.stringify(body));
+		}, state.delay);
+	}
+
 	const server = createServer((request, response) => {
 		if (state.away) {
 			answer(response, 503, {});
@@ -126,6 +142,12 @@
 		setAway(away) {
 			state.away = away;
 		},
+		setDelay(milliseconds) {
+			state.delay = milliseconds;
+		},
+		setLosingAnswers(isLosing) {
+			state.isLosing = isLosing;
+		},
 	};
 }
 
@@ -133,11 +155,6 @@
 	return JSON.stringify([table, part, key]);
 }
 
-function answer(response: ServerResponse, status: number, body: unknown): void {
-	response.writeHead(status, {'content-type': 'application/json'});
-	response.end(JSON.stringify(body));
-}
-
 async function readJson(request: IncomingMessage): Promise<unknown> {
 	const chunks: Uint8Array[] = [];
 	for await (const chunk of request as AsyncIterable<Uint8Array>) {
--- a/stand-ins/relay/relay.ts
+++ b/stand-ins/relay/relay.ts
@@ -42,6 +42,8 @@
 	/** Port to listen on; 0 lets the system pick one. */
 	readonly port: number;
 	readonly targetPort: number;
+	/** Host of the target; that of the relay when absent. */
+	readonly targetHost?: string;
 	readonly quality?: Partial<LinkQuality>;
 };
 
@@ -53,6 +55,7 @@
 type Link = {
 	quality: LinkQuality;
 	passedBytes: number;
+	isClosed: boolean;
 	readonly forth: Lane;
 	readonly back: Lane;
 	readonly sockets: Set<Socket>;
@@ -73,6 +76,7 @@
 			...options.quality,
 		},
 		passedBytes: 0,
+		isClosed: false,
 		forth: {freeAt: 0},
 		back: {freeAt: 0},
 		sockets: new Set(),
@@ -92,6 +96,7 @@
 		},
 		passedBytes: () => link.passedBytes,
 		async close() {
+			link.isClosed = true;
 			for (const socket of link.sockets) {
 				socket.destroy();
 			}
@@ -120,7 +125,7 @@
 	}
 
 	const far = createConnection({
-		host: options.host,
+		host: options.targetHost ?? options.host,
 		port: options.targetPort,
 		noDelay: true,
 	});
@@ -195,7 +200,11 @@
 	const senders = new Map<string, DatagramSocket>();
 	near.on('message', (message, sender) => {
 		passDatagram(link, link.forth, message.length, () => {
-			farSocketOf(sender).send(message, options.targetPort, options.host);
+			farSocketOf(sender).send(
+				message,
+				options.targetPort,
+				options.targetHost ?? options.host,
+			);
 		});
 	});
 
@@ -227,12 +236,14 @@
 }
 
 function passDatagram(link: Link, lane: Lane, bytes: number, deliver: () => void): void {
-	if (link.quality.cut === cuts.reset || isCut(link, lane)) {
+	if (link.isClosed || link.quality.cut === cuts.reset || isCut(link, lane)) {
 		return;
 	}
 
 	setTimeout(() => {
-		link.passedBytes += bytes;
-		deliver();
+		if (!link.isClosed) {
+			link.passedBytes += bytes;
+			deliver();
+		}
 	}, link.quality.delayMilliseconds);
 }
--- a/test/configuration/pollers.test.ts
+++ b/test/membership/pollers.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {isPoller} from '../../src/configuration/pollers.js';
+import {isPoller} from '../../src/membership/index.js';
 
 const pollersPerDomain = 2;
 
--- a/test/process/relay.test.ts
+++ b/test/process/relay.test.ts
@@ -1,5 +1,7 @@
 /** The relay as processes beside stand-in servers, with a stand-in store: the path without the bench. */
+import {Agent} from 'node:http';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
 	ask,
@@ -15,8 +17,10 @@
 	const answers = await Promise.all(
 		ids.map(async (id, index) =>
 			ask(nodes[index % 2]!.callersPort, `/search/${index}`, {
-				'x-request-id': id,
-				'x-caller-service': 'forged',
+				headers: {
+					'x-request-id': id,
+					'x-caller-service': 'forged',
+				},
 			}),
 		),
 	);
@@ -33,7 +37,9 @@
 	const {nodes} = await startRelayMesh(context, 2);
 	await nodes[0]!.server.drain();
 	const answer = await ask(nodes[0]!.callersPort, '/search/1', {
-		'x-request-id': 'followed',
+		headers: {
+			'x-request-id': 'followed',
+		},
 	});
 	expect(answer.status).toEqual(200);
 	const messagesOf = (logs: readonly LogLine[]) =>
@@ -58,7 +64,9 @@
 	const before = nodes[0]!.server.seen.length;
 	const answers = await Promise.all(
 		Array.from({length: 20}, async (_, index) =>
-			ask(nodes[index % 2]!.callersPort, '/search/2', {'x-request-id': `late-${index}`}),
+			ask(nodes[index % 2]!.callersPort, '/search/2', {
+				headers: {'x-request-id': `late-${index}`},
+			}),
 		),
 	);
 	expect(answers.every(({status}) => status === 200)).toEqual(true);
@@ -69,14 +77,14 @@
 	const {nodes} = await startRelayMesh(context, 2);
 	nodes[0]!.server.resetOn('broken');
 	nodes[1]!.server.resetOn('broken');
-	const unsafe = await ask(
-		nodes[0]!.callersPort,
-		'/book/broken',
-		{'x-request-id': 'unsafe'},
-		'POST',
-	);
+	const unsafe = await ask(nodes[0]!.callersPort, '/book/broken', {
+		headers: {'x-request-id': 'unsafe'},
+		method: 'POST',
+	});
 	const safe = await ask(nodes[0]!.callersPort, '/search/broken', {
-		'x-request-id': 'safe',
+		headers: {
+			'x-request-id': 'safe',
+		},
 	});
 	const countRuns = (id: string) =>
 		nodes.flatMap(({server}) => server.seen).filter(({requestId}) => requestId === id)
@@ -104,12 +112,54 @@
 	);
 	const answers = await Promise.all(
 		nodes.map(async ({callersPort}) =>
-			ask(callersPort, '/new/1', {'x-request-id': `new-${callersPort}`}),
+			ask(callersPort, '/new/1', {headers: {'x-request-id': `new-${callersPort}`}}),
 		),
 	);
 	expect(answers.map(({status}) => status)).toEqual([200, 200]);
 });
 
+test('a node that does not ask the table learns of a configuration from one that does', async context => {
+	const {nodes, store} = await startRelayMesh(context, 3);
+	// Nodes that have just started do not poll before they know the others.
+	await sleep(3000);
+	store.putConfiguration(createConfiguration(5, '/new/'));
+	await waitFor(() =>
+		nodes.every(({logs}) =>
+			logs.some(({message, version}) => message === 'routes in force' && version === 5),
+		),
+	);
+	const sources = nodes.map(
+		({logs}) =>
+			logs.findLast(({message}) => message === 'routes in force')!.source as string,
+	);
+	expect(sources.filter(source => source === 'table').length).toEqual(2);
+	expect(sources.filter(source => source.startsWith('node-')).length).toEqual(1);
+});
+
+test('a node that stops refuses what may outlast it, and cuts nothing', async context => {
+	const {nodes} = await startRelayMesh(context, 2, 60);
+	const [leaving] = nodes;
+	const agent = new Agent({keepAlive: true, maxSockets: 1});
+	const answers: Array<{id: string; status: number}> = [];
+	leaving!.child.kill('SIGTERM');
+	// A caller that heeds neither readiness nor the close of its connection.
+	for (let index = 0; leaving!.child.exitCode === null; index += 1) {
+		const id = `stubborn-${index}`;
+		const {status} = await ask(leaving!.callersPort, '/book/1', {
+			headers: {'x-request-id': id},
+			method: 'POST',
+			agent,
+		});
+		answers.push({id, status});
+	}
+
+	const seen = new Set(
+		nodes.flatMap(({server}) => server.seen.map(({requestId}) => requestId)),
+	);
+	expect(answers.some(({status}) => status === 503)).toEqual(true);
+	expect(answers.filter(({id, status}) => seen.has(id) && status !== 200)).toEqual([]);
+});
+
 test('calls go on while the store is away, and its return is noticed', async context => {
 	const {nodes, store} = await startRelayMesh(context, 2);
 	store.setAway(true);
@@ -119,7 +169,9 @@
 		nodes.every(({logs}) => logs.some(({message}) => message === 'table lost')),
 	);
 	const during = await ask(nodes[0]!.callersPort, '/search/1', {
-		'x-request-id': 'during',
+		headers: {
+			'x-request-id': 'during',
+		},
 	});
 	expect(during.status).toEqual(200);
 	store.setAway(false);
@@ -135,7 +187,9 @@
 	const load = {isOver: false};
 	const send = async (port: number, name: string): Promise<void> => {
 		for (let index = 0; !load.isOver; index += 1) {
-			const answer = await ask(port, '/search/1', {'x-request-id': `${name}-${index}`});
+			const answer = await ask(port, '/search/1', {
+				headers: {'x-request-id': `${name}-${index}`},
+			});
 			statuses.push(answer.status);
 		}
 	};
@@ -151,7 +205,9 @@
 			}
 
 			const answer = await ask(leaving!.callersPort, '/search/1', {
-				'x-request-id': `own-${index}-${count}`,
+				headers: {
+					'x-request-id': `own-${index}-${count}`,
+				},
 			});
 			statuses.push(answer.status);
 		}
@@ -171,7 +227,7 @@
 
 test('metrics and the state dump are served', async context => {
 	const {nodes} = await startRelayMesh(context, 1);
-	await ask(nodes[0]!.callersPort, '/search/1', {'x-request-id': 'counted'});
+	await ask(nodes[0]!.callersPort, '/search/1', {headers: {'x-request-id': 'counted'}});
 	const metrics = await ask(nodes[0]!.metricsPort, '/metrics');
 	expect(metrics.body.includes('foxtailtide_call_milliseconds_bucket')).toEqual(true);
 	const state = await ask(nodes[0]!.metricsPort, '/state');
--- /dev/null
+++ b/test/soak/checks.test.ts
@@ -0,0 +1,113 @@
+/** Each check of the soak finds a planted fault, and none in evidence that is sound. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {
+	findBrokenPromises,
+	type Bounds,
+	type Evidence,
+	type SentRequest,
+} from '../../soak/checks.js';
+import {drawSchedule, isDisturbance} from '../../soak/faults.js';
+
+const bounds: Bounds = {
+	maximumAttempts: 2,
+	drainMilliseconds: 2000,
+	configurationMilliseconds: 2000,
+	calmMilliseconds: 3000,
+	heldMilliseconds: 500,
+	deadlineMilliseconds: 1500,
+};
+
+const served: SentRequest = {
+	id: 'one',
+	node: 0,
+	life: 0,
+	idempotent: false,
+	sentAt: 10_000,
+	endedAt: 10_050,
+	status: 200,
+	answeredId: 'one',
+	seal: 'seal-one',
+	body: 'answer to one',
+	outcome: 'ran',
+	sinceVersion: 0,
+};
+
+function createEvidence(changes: Partial<Evidence>): Evidence {
+	return {
+		requests: [served],
+		runs: [{id: 'one', server: 'server-0', at: 10_010}],
+		leavings: [],
+		versions: [],
+		disturbances: [],
+		isPlanned: true,
+		...changes,
+	};
+}
+
+const run = {id: 'one', server: 'server-0', at: 10_010};
+const refused: SentRequest = {...served, status: 503, outcome: 'not-run', body: ''};
+const denied: SentRequest = {...refused, status: 404, sinceVersion: 2};
+const later = {sentAt: 10_100, endedAt: 10_120};
+
+const cases: ReadonlyArray<readonly [string, Partial<Evidence>, string | undefined]> = [
+	['sound evidence', {}, undefined],
+	['another answer', {requests: [{...served, answeredId: 'two'}]}, 'mixed'],
+	['a cut answer', {requests: [{...served, body: 'answer to on'}]}, 'mixed'],
+	['a second run', {runs: [run, run]}, 'twice'],
+	['a refusal of what ran', {requests: [refused]}, 'not run'],
+	[
+		'work for a server that left',
+		{leavings: [{server: 'server-0', acknowledgedAt: 8000}]},
+		'leaving',
+	],
+	[
+		'work within the bound of leaving',
+		{leavings: [{server: 'server-0', acknowledgedAt: 9000}]},
+		undefined,
+	],
+	[
+		'a route denied long after it was stored',
+		{requests: [denied], runs: [], versions: [{version: 2, at: 7000}]},
+		'behind',
+	],
+	[
+		'a route denied beside a disturbance',
+		{
+			requests: [denied],
+			runs: [],
+			versions: [{version: 2, at: 7000}],
+			disturbances: [{from: 6000, until: 8000, target: undefined}],
+		},
+		undefined,
+	],
+	[
+		'a route denied after it was served',
+		{
+			requests: [
+				{...served, sinceVersion: 2},
+				{...denied, ...later, id: 'two'},
+			],
+			versions: [{version: 2, at: 9900}],
+		},
+		'back',
+	],
+	['a cut by planned work', {requests: [{...served, status: 0}]}, 'cut'],
+	['an answer held too long', {requests: [{...served, endedAt: 12_100}]}, 'held'],
+];
+
+for (const [name, changes, finding] of cases) {
+	test(`the soak judges ${name}`, () => {
+		const findings = findBrokenPromises(createEvidence(changes), bounds);
+		expect(findings.map(text => text.split(':')[0])).toEqual(
+			finding === undefined ? [] : [finding],
+		);
+	});
+}
+
+test('a seed always gives the same faults, and a planned run disturbs nothing', () => {
+	expect(drawSchedule(7, 6, 10_000)).toEqual(drawSchedule(7, 6, 10_000));
+	const planned = drawSchedule(8, 6, 30_000);
+	expect(planned.isPlanned).toEqual(true);
+	expect(planned.faults.some(({kind}) => isDisturbance(kind))).toEqual(false);
+});
--- a/test/support/relay-mesh.ts
+++ b/test/support/relay-mesh.ts
@@ -4,7 +4,7 @@
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {request as sendRequest, type Server} from 'node:http';
+import {request as sendRequest, type Agent, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
@@ -18,6 +18,8 @@
 
 const program = path.resolve(import.meta.dirname, '../../dist/relay.cjs');
 const host = '127.0.0.1';
+/** The third node shares the failure domain of the first, where one of the two polls. */
+const domains = 2;
 const readyTimeoutMilliseconds = 20_000;
 
 export type LogLine = Readonly<Record<string, unknown>> & {readonly message: string};
@@ -43,14 +45,17 @@
 	readonly body: string;
 };
 
-/** Configuration with one route of each kind to one service. */
-export function createConfiguration(version: number, extraPrefix?: string): unknown {
+/** Configuration with one route of each kind, and more of them, to one service. */
+export function createConfiguration(
+	version: number,
+	...extraPrefixes: readonly string[]
+): unknown {
 	const paths = [
 		createPath('search', '/search/', 'idempotent'),
 		createPath('book', '/book/', 'non_idempotent'),
 	];
-	if (extraPrefix !== undefined) {
-		paths.push(createPath('extra', extraPrefix, 'idempotent'));
+	for (const prefix of extraPrefixes) {
+		paths.push(createPath(`extra${prefix}`, prefix, 'idempotent'));
 	}
 
 	return {
@@ -114,11 +119,13 @@
 		workMilliseconds: options.workMilliseconds,
 	});
 	const serverPort = await listen(cleaner, server.server);
-	cleaner.after(() => {
-		server.close();
-	});
+	cleaner.after(async () => server.close());
 	const settings = {
-		node: {id: `node-${options.index}`, region: 'coast', failureDomain: 'coast-a'},
+		node: {
+			id: `node-${options.index}`,
+			region: 'coast',
+			failureDomain: `coast-${options.index % domains}`,
+		},
 		server: {service: 'bookings', address: `${host}:${serverPort}`},
 		listeners: {
 			callers: `${host}:${callers}`,
@@ -160,12 +167,19 @@
 	return node;
 }
 
+/** What a request carries besides its path. */
+export type AskOptions = {
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly method?: string;
+	/** Keeps connections open; each request has its own when absent. */
+	readonly agent?: Agent;
+};
+
 /** Sends a request to a node; status 0 stands for a connection that broke. */
 export async function ask(
 	port: number,
 	requestPath: string,
-	headers: Record<string, string> = {},
-	method = 'GET',
+	{headers = {}, method = 'GET', agent}: AskOptions = {},
 ): Promise<Answer> {
 	return new Promise(resolve => {
 		const request = sendRequest(
@@ -174,7 +188,7 @@
 				port,
 				path: requestPath,
 				method,
-				agent: false,
+				agent: agent ?? false,
 				headers: {host: 'bays.example', 'x-request-deadline': '1400', ...headers},
 			},
 			response => {
@@ -212,7 +226,7 @@
 	}
 }
 
-async function waitUntilReady({readinessPort}: Pick<RelayNode, 'readinessPort'>) {
+export async function waitUntilReady({readinessPort}: Pick<RelayNode, 'readinessPort'>) {
 	const deadline = Date.now() + readyTimeoutMilliseconds;
 	for (;;) {
 		const {status} = await ask(readinessPort, '/ready');
@@ -252,7 +266,7 @@
 	}
 }
 
-async function listen(cleaner: Cleaner, server: Server): Promise<number> {
+export async function listen(cleaner: Cleaner, server: Server): Promise<number> {
 	await new Promise<void>(resolve => {
 		server.listen(0, host, resolve);
 	});
--- a/xo.config.js
+++ b/xo.config.js
@@ -34,7 +34,7 @@
 		},
 	},
 	{
-		files: ['test/**', 'bench/**', 'stand-ins/**', 'scripts/**', 'demo/**'],
+		files: ['test/**', 'bench/**', 'stand-ins/**', 'scripts/**', 'demo/**', 'soak/**'],
 		rules: {
 			'no-await-in-loop': 'off',
 			// Tests read the JSON that they have asked for.
