Ask a few gates for a call instead of all of its service, and keep large bodies in their region

Ruled out: gossip (idle nodes cost a fraction of it).

Change: the nearest gate is asked, then two more near ones, then two far ones, at random within a distance. A body whose bytes between regions cost more than its answer is worth is refused with a time to return while its own region has servers.

--- a/src/placing/index.ts
+++ b/src/placing/index.ts
@@ -4,6 +4,7 @@
 	distances,
 	isFartherWorthAsking,
 	isGoodEnough,
+	isWorthSending,
 	rateGates,
 	type ByteCosts,
 	type Candidate,
@@ -12,3 +13,4 @@
 	type Placement,
 	type RatedCandidate,
 } from './place.js';
+export {orderForQuestions, type Located} from './sample.js';
--- a/src/placing/place.ts
+++ b/src/placing/place.ts
@@ -129,6 +129,19 @@
 	return best.value < 1 - costOf(distances.remote, placement.bytes, costs) - sameValue;
 }
 
+/**
+ * Tells whether a request is sent to a gate at all, or rather refused with a time to return. Bytes to
+ * another region that cost more than the answer is worth are spent only where the own region has
+ * no server.
+ *
+ * @param rated the gate
+ * @param hasNear whether the own region has a server of the service
+ * @returns whether to send it
+ */
+export function isWorthSending(rated: RatedCandidate, hasNear: boolean): boolean {
+	return rated.distance !== distances.remote || !hasNear || rated.value > 0;
+}
+
 function rate(
 	candidate: Candidate,
 	placement: Placement,
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -1,5 +1,5 @@
 /**
- * Finds the gates for a call: asks the near ones what the call would meet there, and far ones
+ * Finds the gates for a call: asks some near ones what the call would meet there, and far ones
  * when that may be worth it, and lets the placing decision order them. It remembers which gates
  * stay silent, so that a call does not wait for them.
  */
@@ -8,6 +8,8 @@
 	distances,
 	isFartherWorthAsking,
 	isGoodEnough,
+	isWorthSending,
+	orderForQuestions,
 	rateGates,
 	type ByteCosts,
 	type Candidate,
@@ -28,12 +30,14 @@
 
 export type PlacerOptions = {
 	readonly place: NodePlace;
-	readonly gate: RelayGate;
+	readonly gate: Pick<RelayGate, 'report'>;
 	readonly socket: Pick<GateSocket, 'askLoad'>;
 	readonly membersOf: (service: string) => readonly Member[];
 	readonly costs: ByteCosts;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
+	/** A number from 0 to below 1. */
+	readonly random: () => number;
 	/** Usual bytes of a route's answers. */
 	readonly answerBytes: (route: string) => number;
 };
@@ -65,8 +69,8 @@
 const nearTimeoutMilliseconds = 15;
 /** Two regions are some ten milliseconds apart. */
 const farTimeoutMilliseconds = 40;
-/** How long the word of a far gate counts, in milliseconds. */
-const farFreshMilliseconds = 100;
+/** Near gates that are asked besides the first, as many as far ones; two choices suffice. */
+const sampleSize = 2;
 /** How long a silent gate is not waited for, in milliseconds. */
 const silenceMilliseconds = 1000;
 /** Heads of a request and its answer, in bytes. */
@@ -81,11 +85,6 @@
 	[distances.remote]: 20,
 };
 const roundTripWeight = 0.2;
-const nearOrder: readonly Distance[] = [
-	distances.own,
-	distances.failureDomain,
-	distances.region,
-];
 
 /**
  * Creates the placer.
@@ -165,57 +164,72 @@
 			: ask(member, question, nearTimeoutMilliseconds));
 	}
 
+	/** Rates the gates that were asked just now by what they said. */
+	function rate(members: readonly Member[], call: RelayCall): RatedGate[] {
+		const byId = new Map(members.map(member => [member.nodeId, member]));
+		const candidates = members.map(member => describeCandidate(member));
+		const placement = describePlacement(call, options, now());
+		return rateGates(candidates, placement, options.costs).map(rated => ({
+			...rated,
+			member: byId.get(rated.nodeId)!,
+			reportAge: now() - (heard.get(rated.nodeId)?.heardAt ?? now()),
+		}));
+	}
+
+	async function rankNear(
+		near: readonly Member[],
+		call: RelayCall,
+		question: LoadQuestion,
+	): Promise<{asked: readonly Member[]; rated: RatedGate[]}> {
+		const [nearest, ...others] = near;
+		if (nearest === undefined) {
+			return {asked: [], rated: []};
+		}
+
+		await askNear(nearest, question);
+		const first = rate([nearest], call);
+		if (first[0] && isGoodEnough(first[0])) {
+			return {asked: [nearest], rated: first};
+		}
+
+		const sample = others.slice(0, sampleSize);
+		await Promise.all(sample.map(async member => askNear(member, question)));
+		const asked = [nearest, ...sample];
+		return {asked, rated: rate(asked, call)};
+	}
+
 	return {
 		async rank(call, excluded) {
 			const members = options
 				.membersOf(call.service)
-				.filter(
-					({nodeId, status}) => !excluded.has(nodeId) && status === memberStatuses.alive,
-				);
+				.filter(({status}) => status === memberStatuses.alive);
+			const hasNear = members.some(member => isNear(member, place));
+			const candidates = orderForQuestions(
+				members
+					.filter(({nodeId}) => !excluded.has(nodeId))
+					.map(member => ({member, distance: distanceOf(member, place)})),
+				options.random,
+			).map(({member}) => member);
 			const question: LoadQuestion = {
 				route: call.route,
 				rank: call.rank,
 				nested: call.nested,
 				targetMilliseconds: call.targetMilliseconds,
 			};
-			const near = members
-				.filter(member => isNear(member, place))
-				.toSorted((left, right) => nearness(left, place) - nearness(right, place));
-			const far = members.filter(member => !isNear(member, place));
-			const rate = (list: readonly Member[]): RatedGate[] => {
-				const byId = new Map(list.map(member => [member.nodeId, member]));
-				const candidates = list.map(member => describeCandidate(member));
-				const placement = describePlacement(call, options, now());
-				return rateGates(candidates, placement, options.costs).map(rated => ({
-					...rated,
-					member: byId.get(rated.nodeId)!,
-					reportAge: now() - (heard.get(rated.nodeId)?.heardAt ?? now()),
-				}));
-			};
-
-			const [nearest, ...others] = near;
-			if (nearest !== undefined) {
-				await askNear(nearest, question);
-				const [first] = rate([nearest]);
-				if (first && isGoodEnough(first)) {
-					return [first];
-				}
-
-				await Promise.all(others.map(async member => askNear(member, question)));
-			}
-
-			const rated = rate(near);
+			const near = candidates.filter(member => isNear(member, place));
+			const {asked, rated} = await rankNear(near, call, question);
 			const placement = describePlacement(call, options, now());
+			const far = candidates
+				.filter(member => !isNear(member, place))
+				.slice(0, sampleSize);
 			if (far.length === 0 || !isFartherWorthAsking(rated[0], placement, options.costs)) {
 				return rated;
 			}
 
 			await Promise.all(
-				far
-					.filter(member => now() - find(member).heardAt > farFreshMilliseconds)
-					.map(async member => ask(member, question, farTimeoutMilliseconds)),
+				far.map(async member => ask(member, question, farTimeoutMilliseconds)),
 			);
-			return rate(members);
+			return rate([...asked, ...far], call).filter(gate => isWorthSending(gate, hasNear));
 		},
 	};
 }
@@ -233,11 +247,6 @@
 	return member.region === place.region;
 }
 
-/** Order in which near gates are asked: the own one, then the own failure domain's. */
-function nearness(member: Member, place: NodePlace): number {
-	return nearOrder.indexOf(distanceOf(member, place));
-}
-
 function distanceOf(member: Member, place: NodePlace): Distance {
 	if (member.nodeId === place.nodeId) {
 		return distances.own;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -209,6 +209,7 @@
 		membersOf,
 		costs: settings.costs,
 		now,
+		random: Math.random,
 		answerBytes: route => answerBytes.get(route) ?? 0,
 	});
 	const callers = createCallerListener({
--- /dev/null
+++ b/test/relay/placer.test.ts
@@ -0,0 +1,130 @@
+/** How many gates a call asks, and which it is sent to, in a service with many servers. */
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {memberStatuses, type Member} from '../../src/membership/index.js';
+import type {GateReport} from '../../src/placing/index.js';
+import {createRandom} from '../../src/load/random.js';
+import type {RelayCall} from '../../src/relay/call.js';
+import type {RelayGate} from '../../src/relay/gate-surface.js';
+import {createPlacer} from '../../src/relay/placer.js';
+
+const free: GateReport = {
+	accepting: true,
+	waitMilliseconds: 0,
+	durationMilliseconds: 100,
+	failureShare: 0,
+};
+const full: GateReport = {...free, waitMilliseconds: 300};
+/** The node of these calls has no server of the service. */
+const unusedGate: Pick<RelayGate, 'report'> = {
+	report: async () => free,
+};
+const regions = ['coast', 'plain', 'hills'];
+
+/** Members in turn in each of three regions with two failure domains. */
+function createMembers(count: number): Member[] {
+	return Array.from({length: count}, (_, index) => {
+		const region = regions[index % regions.length]!;
+		return {
+			nodeId: `node-${index}`,
+			incarnation: 1,
+			status: memberStatuses.alive,
+			host: '127.0.0.1',
+			peerPort: index + 1,
+			controlPort: 1,
+			region,
+			failureDomain: `${region}-${index % 2}`,
+			service: 'search',
+			slots: 6,
+			revision: 1,
+		};
+	});
+}
+
+function createCall(bodyBytes: number): RelayCall {
+	const now = performance.now();
+	return {
+		requestId: 'request',
+		route: 'route',
+		service: 'search',
+		method: 'POST',
+		path: '/',
+		headers: [],
+		body: new Uint8Array(bodyBytes),
+		originService: 'search',
+		rank: 1,
+		idempotent: false,
+		nested: false,
+		targetMilliseconds: 400,
+		arrivedAt: now,
+		targetAt: now + 400,
+		deadlineAt: now + 1000,
+		maximumAttempts: 2,
+	};
+}
+
+function createWorld(members: readonly Member[], report: (member: Member) => GateReport) {
+	const asked: string[] = [];
+	const random = createRandom(5);
+	const placer = createPlacer({
+		place: {nodeId: 'ingress', region: 'coast', failureDomain: 'coast-0'},
+		gate: unusedGate,
+		socket: {
+			async askLoad({port}) {
+				const member = members[port - 1]!;
+				asked.push(member.nodeId);
+				return {...report(member), roundTripMilliseconds: 1};
+			},
+		},
+		membersOf: () => members,
+		costs: {perKilobyteBetweenDomains: 0.01, perKilobyteBetweenRegions: 0.05},
+		now: () => performance.now(),
+		random,
+		answerBytes: () => 1000,
+	});
+	return {placer, asked};
+}
+
+test('a call asks a few of 45 gates, however full they are', async () => {
+	const {placer, asked} = createWorld(createMembers(45), () => full);
+	const ranked = await placer.rank(createCall(100), new Set());
+	expect(ranked.length).toBeGreaterThan(0);
+	expect(asked.length).toBeLessThanOrEqual(5);
+	expect(new Set(asked).size).toEqual(asked.length);
+});
+
+test('calls that come at once are spread over the gates of the failure domain', async () => {
+	const {placer, asked} = createWorld(createMembers(45), () => free);
+	const chosen = new Set<string>();
+	for (let index = 0; index < 100; index += 1) {
+		const [best] = await placer.rank(createCall(100), new Set());
+		chosen.add(best!.nodeId);
+		expect(best!.member.failureDomain).toEqual('coast-0');
+	}
+
+	expect(asked.length).toEqual(100);
+	expect(chosen.size).toEqual(8);
+});
+
+test('a large body is not sent to another region while the own one has servers', async () => {
+	const members = createMembers(6);
+	const {placer} = createWorld(members, ({region}) =>
+		region === 'coast' ? {...free, accepting: false} : free,
+	);
+	expect(await placer.rank(createCall(60_000), new Set())).toEqual([]);
+	const small = await placer.rank(createCall(100), new Set());
+	expect(small.every(({member}) => member.region !== 'coast')).toEqual(true);
+	expect(small.length).toBeGreaterThan(0);
+});
+
+test('a large body crosses to another region that alone has servers', async () => {
+	const members = createMembers(6).map((member, index) => ({
+		...member,
+		peerPort: index + 1,
+		status: member.region === 'coast' ? memberStatuses.dead : memberStatuses.alive,
+	}));
+	const {placer} = createWorld(members, () => free);
+	const ranked = await placer.rank(createCall(60_000), new Set());
+	expect(ranked.length).toBeGreaterThan(0);
+	expect(ranked.every(({member}) => member.region !== 'coast')).toEqual(true);
+});
