Bound the bodies that a node invites by what its link carries

Change: a node counts the bodies on their way to it and takes no further large one while they fill the link for more than 100 ms; the question names the length of the body. A receipt is awaited for 250 ms. What no gate takes returns after a third of its latency target instead of 200 ms.

--- a/src/relay/call-runner.ts
+++ b/src/relay/call-runner.ts
@@ -14,6 +14,7 @@
 	type RunningAttempt,
 } from '../call/index.js';
 import type {Logger} from '../log/index.js';
+import {chooseRetryAfter} from '../waiting/index.js';
 import type {RelayCall} from './call.js';
 import type {RelayGate} from './gate-surface.js';
 import {decideRelayStep, hasArrived, relaySteps, type RelayStep} from './next-step.js';
@@ -30,6 +31,8 @@
 	readonly log: Logger;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
+	/** A number from 0 to below 1. */
+	readonly random: () => number;
 	/** Wall clock in milliseconds; it only spaces the numbers of attempts. */
 	readonly wallClock: () => number;
 };
@@ -53,8 +56,8 @@
 	finished: boolean;
 };
 
-/** Pause after which another gate may have a server again, in milliseconds. */
-const noServerPauseMilliseconds = 200;
+/** Share of its latency target after which a call that no gate took is worth sending again. */
+const noServerPauseShare = 1 / 3;
 
 /**
  * Creates the runner.
@@ -168,7 +171,7 @@
 					refusalKinds.serverFailed,
 					'contact with the server was lost: idempotent requests may be sent again',
 				)
-			: (state.refusal ?? createNoServer(state.call));
+			: (state.refusal ?? createNoServer(state.call, now(), options.random()));
 		finish(state, {kind: attemptResultKinds.refused, refusal, outcome, load: undefined});
 	}
 
@@ -250,11 +253,12 @@
 	state.mayHaveRun = true;
 }
 
-function createNoServer(call: RelayCall): Refusal {
+function createNoServer(call: RelayCall, now: number, random: number): Refusal {
+	const pause = call.targetMilliseconds * noServerPauseShare;
 	return createRefusal(
 		refusalKinds.noServer,
 		`no server of ${call.service} takes the request: try again after the stated pause`,
-		noServerPauseMilliseconds,
+		chooseRetryAfter(pause, call.deadlineAt - now, random),
 	);
 }
 
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -30,6 +30,7 @@
 } from '../http/index.js';
 import type {Logger} from '../log/index.js';
 import {chooseService, createShareState, findRoute, type Route} from '../routes/index.js';
+import type {InboundLink} from '../waiting/index.js';
 import type {RelayCall} from './call.js';
 import type {RunRelayCall} from './call-runner.js';
 import type {CallerHead, Dialect} from './dialect.js';
@@ -45,6 +46,8 @@
 	readonly service: string;
 	/** Whether the own server runs the request that made the one with this id. */
 	readonly runsCallerOf: (requestId: string) => boolean;
+	/** The link over which bodies reach this VM. */
+	readonly inboundLink: InboundLink;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 	/** Is told how each request ended. */
@@ -144,7 +147,7 @@
 			return;
 		}
 
-		receiveBody(request, body => {
+		receiveBody(request, options.inboundLink, body => {
 			if (!response.closed) {
 				start(request, response, {head, route, arrivedAt, body}, inForce);
 			}
--- a/src/relay/gate-surface.ts
+++ b/src/relay/gate-surface.ts
@@ -7,6 +7,7 @@
 import type {AttemptId, RunningAttempt} from '../call/index.js';
 import type {Logger} from '../log/index.js';
 import type {GateReport} from '../placing/index.js';
+import type {InboundLink} from '../waiting/index.js';
 import type {RepeatPolicy} from '../repeats/index.js';
 import type {RelayAttempt} from './call.js';
 import type {Dialect} from './dialect.js';
@@ -17,6 +18,8 @@
 	readonly rank: number;
 	readonly nested: boolean;
 	readonly targetMilliseconds: number;
+	/** Length of the body that would be sent; zero for one that is here already. */
+	readonly bodyBytes: number;
 };
 
 export type RelayGateOptions = {
@@ -33,6 +36,8 @@
 		readonly service: string;
 	};
 	readonly maximumConnections: number;
+	/** The link over which bodies reach this VM. */
+	readonly inboundLink: InboundLink;
 	/** Health path of the service; undefined while no routes are known. */
 	readonly healthPath: () => string | undefined;
 	/** Questions that the health path may be asked in any second. */
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -43,8 +43,10 @@
 	createQueue,
 	currentSlowdown,
 	endWork,
+	estimateTransfer,
 	estimateWait,
 	estimateWork,
+	hasRoomFor,
 	isSpeedStale,
 	offerOutcomes,
 	offerWork,
@@ -478,9 +480,11 @@
 			}
 
 			return {
-				accepting: isAccepting(),
+				accepting: isAccepting() && hasRoomFor(options.inboundLink, question.bodyBytes),
 				waitMilliseconds: estimateWait(queue, question, now()),
-				durationMilliseconds: estimateWork(queue, question, now()),
+				durationMilliseconds:
+					estimateTransfer(options.inboundLink, question.bodyBytes) +
+					estimateWork(queue, question, now()),
 				failureShare: findFailureShare(failures, now()),
 			};
 		},
--- a/src/relay/peer-listener.ts
+++ b/src/relay/peer-listener.ts
@@ -10,6 +10,7 @@
 } from 'node:http';
 import type {RunningAttempt} from '../call/index.js';
 import {refuseStranger, writeResult} from '../http/index.js';
+import type {InboundLink} from '../waiting/index.js';
 import type {RelayAttempt} from './call.js';
 import {readPeerAttempt} from './peer-headers.js';
 import {receiveBody} from './receive-body.js';
@@ -22,6 +23,8 @@
 	readonly run: (attempt: RelayAttempt) => RunningAttempt;
 	/** Text of the routes in force; undefined while there are none. */
 	readonly routes: () => string | undefined;
+	/** The link over which bodies reach this VM. */
+	readonly inboundLink: InboundLink;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 };
@@ -68,7 +71,7 @@
 	options: PeerListenerOptions,
 ): void {
 	response.writeProcessing();
-	receiveBody(request, body => {
+	receiveBody(request, options.inboundLink, body => {
 		const head = {
 			method: request.method!,
 			path: request.url!,
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -40,7 +40,7 @@
 const idleConnectionMilliseconds = 8000;
 const connectTimeoutMilliseconds = 300;
 /** A gate says that it has an attempt within this time and a round trip, in milliseconds. */
-const receiptMilliseconds = 120;
+const receiptMilliseconds = 250;
 /** Time for a gate's answer to a cancellation, besides a round trip, in milliseconds. */
 const cancelMilliseconds = 40;
 
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -148,7 +148,7 @@
 	}
 
 	async function askOwn(member: Member, question: LoadQuestion): Promise<void> {
-		const report = await options.gate.report(question);
+		const report = await options.gate.report({...question, bodyBytes: 0});
 		take(find(member), {...report, roundTripMilliseconds: 0});
 	}
 
@@ -215,6 +215,7 @@
 				rank: call.rank,
 				nested: call.nested,
 				targetMilliseconds: call.targetMilliseconds,
+				bodyBytes: countBodyBytes(call),
 			};
 			const near = candidates.filter(member => isNear(member, place));
 			const {asked, rated} = await rankNear(near, call, question);
@@ -235,14 +236,17 @@
 }
 
 function describePlacement(call: RelayCall, options: PlacerOptions, now: number) {
-	const body = isWhole(call.body) ? call.body.length : streamBytes;
 	return {
 		targetMilliseconds: call.targetAt - now,
 		deadlineMilliseconds: call.deadlineAt - now,
-		bytes: headBytes + body + options.answerBytes(call.route),
+		bytes: headBytes + countBodyBytes(call) + options.answerBytes(call.route),
 	};
 }
 
+function countBodyBytes({body}: RelayCall): number {
+	return isWhole(body) ? body.length : streamBytes;
+}
+
 function isNear(member: Member, place: NodePlace): boolean {
 	return member.region === place.region;
 }
--- a/src/relay/receive-body.ts
+++ b/src/relay/receive-body.ts
@@ -6,6 +6,7 @@
 import type {IncomingMessage} from 'node:http';
 import {PassThrough, pipeline} from 'node:stream';
 import type {Body} from '../call/index.js';
+import {expectBody, type InboundLink} from '../waiting/index.js';
 
 /** Bodies up to this size are held in memory, in bytes. */
 const heldBodyBytes = 1_048_576;
@@ -16,9 +17,14 @@
  * connection.
  *
  * @param request the received request
+ * @param link counts the body while it arrives
  * @param done is called once, with the whole body or a stream of a large one
  */
-export function receiveBody(request: IncomingMessage, done: (body: Body) => void): void {
+export function receiveBody(
+	request: IncomingMessage,
+	link: InboundLink,
+	done: (body: Body) => void,
+): void {
 	const length = request.headers['content-length'];
 	const isChunked = request.headers['transfer-encoding'] !== undefined;
 	if (!isChunked && (length === undefined || length === '0')) {
@@ -27,6 +33,12 @@
 		return;
 	}
 
+	if (length !== undefined) {
+		const endCounting = expectBody(link, Number(length));
+		request.once('end', endCounting);
+		request.once('close', endCounting);
+	}
+
 	if (length !== undefined && Number(length) > heldBodyBytes) {
 		done(request);
 		return;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -23,6 +23,7 @@
 	type Membership,
 	type MembershipError,
 } from '../membership/index.js';
+import {createInboundLink} from '../waiting/index.js';
 import type {Adapter} from './adapter.js';
 import {createRelayRunner} from './call-runner.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
@@ -157,6 +158,7 @@
 	const meter = createMeasuringMeter(settings.measuring);
 	const answerBytes = new Map<string, number>();
 	const createdAt = now();
+	const inboundLink = createInboundLink(node.linkMegabitsPerSecond);
 	let membership: Membership | undefined;
 	let socket: GateSocket | undefined;
 	let leaving = false;
@@ -175,6 +177,7 @@
 		random: Math.random,
 		server: {...splitAddress(server.address), service: server.service},
 		maximumConnections: server.maximumConnections,
+		inboundLink,
 		healthPath: () =>
 			holder.current()?.table.services.find(({name}) => name === server.service)
 				?.healthPath,
@@ -224,10 +227,12 @@
 			placer,
 			log,
 			now,
+			random: Math.random,
 			wallClock: Date.now,
 		}),
 		service: server.service,
 		runsCallerOf: gate.runsCallerOf,
+		inboundLink,
 		now,
 		onEnd(end) {
 			const known = answerBytes.get(end.route) ?? end.bytes;
@@ -255,6 +260,7 @@
 		peerListener: createRelayPeerListener({
 			run: gate.run,
 			routes: () => holder.current()?.text,
+			inboundLink,
 			now,
 		}),
 		attach(joined) {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -12,6 +12,8 @@
 		id: z.string().min(1),
 		region: z.string().min(1),
 		failureDomain: z.string().min(1),
+		/** What the link of the VM carries. */
+		linkMegabitsPerSecond: z.number().positive().default(1000),
 	}),
 	/** The server beside the node. */
 	server: z.object({
--- a/src/waiting/index.ts
+++ b/src/waiting/index.ts
@@ -1,4 +1,11 @@
 /** Public surface of waiting: which request starts, waits, yields or is refused at a gate. */
+export {
+	createInboundLink,
+	estimateTransfer,
+	expectBody,
+	hasRoomFor,
+	type InboundLink,
+} from './inbound-link.js';
 export {assumeUsualSpeed, currentSlowdown, isSpeedStale, reportSlowdown} from './pace.js';
 export {
 	changeSlots,
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -6,6 +6,7 @@
 import {dialect} from '../../platform/dialect.js';
 import {serverStates} from '../../src/announcement/index.js';
 import {attemptResultKinds} from '../../src/call/index.js';
+import {createInboundLink} from '../../src/waiting/index.js';
 import {createRelayGate} from '../../src/relay/gate.js';
 
 test('work goes on, one request after the other, while no question about the speed is granted', async () => {
@@ -28,6 +29,7 @@
 		now: () => performance.now(),
 		random: () => 0.5,
 		server: {host: '127.0.0.1', port, service: 'bookings'},
+		inboundLink: createInboundLink(1000),
 		maximumConnections: 10,
 		healthPath: () => '/health',
 		probesPerSecond: 0,
