--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -28,7 +28,6 @@
 	type AttemptResult,
 	type Refusal,
 } from '../call/index.js';
-import {createSpendingWindow, trySpendAmount} from '../measuring/index.js';
 import {
 	createFailures,
 	findFailureShare,
@@ -37,7 +36,6 @@
 } from '../placing/index.js';
 import {countFirst, createRepeatBudget, trySpendRepeat} from '../repeats/index.js';
 import {
-	assumeUsualSpeed,
 	changeSlots,
 	chooseRetryAfter,
 	createQueue,
@@ -60,6 +58,7 @@
 import type {ServerHealth} from './dialect.js';
 import {describe, describeWork, type Entry} from './gate-entry.js';
 import type {RelayGate, RelayGateOptions} from './gate-surface.js';
+import {createSpeedWatch} from './speed-watch.js';
 import {createServerClient, serverEnds, type ServerResult} from './server-exchange.js';
 
 /** How often what waits is looked at: for lost time, and for the server's speed. */
@@ -88,8 +87,18 @@
 	let failures: Failures = createFailures();
 	let record: ServerRecord | undefined;
 	let leaving = false;
-	const probes = createSpendingWindow(options.probesPerSecond);
-	let probing: Promise<void> | undefined;
+	const speed = createSpeedWatch({
+		probe: async path =>
+			client.probe({id: record?.id, host: server.host, port: server.port}, path),
+		healthPath: options.healthPath,
+		questionsPerSecond: options.probesPerSecond,
+		now,
+		pace: () => queue.pace,
+		onHealth: adopt,
+		onSilence() {
+			noteUnreachable('the health path does not answer', silentMilliseconds);
+		},
+	});
 	let isReportAwaited = false;
 	let unreachableUntil = Number.NEGATIVE_INFINITY;
 	let pumpTimer: NodeJS.Timeout | undefined;
@@ -189,44 +198,12 @@
 		}
 
 		isReportAwaited = true;
-		void refreshSpeed().then(() => {
+		void speed.refresh().then(() => {
 			isReportAwaited = false;
 			pump();
 		});
 	}
 
-	/** Learns the server's speed; calls that come meanwhile share the answer. */
-	async function refreshSpeed(): Promise<void> {
-		probing ??= probe().finally(() => {
-			probing = undefined;
-		});
-		await probing;
-	}
-
-	async function probe(): Promise<void> {
-		const path = options.healthPath();
-		if (path === undefined || !trySpendAmount(probes, 1, now())) {
-			assumeUsualSpeed(queue.pace, now());
-			return;
-		}
-
-		const target = {id: record?.id, host: server.host, port: server.port};
-		const health = await client.probe(target, path);
-		if (health === undefined) {
-			assumeUsualSpeed(queue.pace, now());
-			noteUnreachable('the health path does not answer', silentMilliseconds);
-			return;
-		}
-
-		if (health.serverId === undefined && health.slowdown === undefined) {
-			assumeUsualSpeed(queue.pace, now());
-			return;
-		}
-
-		reportSlowdown(queue.pace, health.slowdown, now());
-		adopt(health);
-	}
-
 	/** A node that has just started knows its server by its health until it is announced. */
 	function adopt(health: ServerHealth): void {
 		const {serverId, slots, isWell} = health;
@@ -476,7 +453,7 @@
 		},
 		async report(question) {
 			if (isAccepting() && isSpeedStale(queue.pace, now())) {
-				await refreshSpeed();
+				await speed.refresh();
 			}
 
 			return {
@@ -502,7 +479,7 @@
 		},
 		discover() {
 			if (record === undefined) {
-				void refreshSpeed();
+				void speed.refresh();
 			}
 		},
 		announce,
--- /dev/null
+++ b/src/relay/listeners.ts
@@ -0,0 +1,66 @@
+/** Binds the listeners of a relay node: callers, readiness, announcements, peers and metrics. */
+import {createServer, type Server} from 'node:http';
+import {Effect} from 'effect';
+import type {EventLog} from '../log/index.js';
+import type {Adapter} from './adapter.js';
+import type {Parts} from './parts.js';
+import {splitAddress, type RelaySettings} from './settings.js';
+
+/** An address could not be bound; the message names it and the remedy. */
+export type ListenError = {readonly kind: 'listen-failed'; readonly message: string};
+
+/**
+ * Binds all listeners.
+ *
+ * @param settings checked settings
+ * @param adapter the platform that the node runs on
+ * @param log the event log
+ * @param parts what answers at the listeners
+ * @returns the listeners, bound
+ */
+export function listenAll(
+	settings: RelaySettings,
+	adapter: Adapter,
+	log: EventLog,
+	parts: Parts,
+): Effect.Effect<Server[], ListenError> {
+	const {listeners} = settings;
+	const own = (port: number) => ({host: listeners.bind ?? listeners.host, port});
+	const bindings: ReadonlyArray<readonly [Server, {host: string; port: number}]> = [
+		[parts.callers.server, splitAddress(listeners.callers)],
+		[createReadinessListener(parts.isReady), splitAddress(listeners.readiness)],
+		[
+			adapter.createAnnouncementListener(parts.gate, log),
+			splitAddress(listeners.announcements),
+		],
+		[parts.peerListener, own(listeners.peer)],
+		[parts.metrics.listener, own(listeners.metrics)],
+	];
+	const binding = bindings.map(([server, {host, port}]) =>
+		Effect.tryPromise({
+			try: async () => bind(server, host, port),
+			catch: (error): ListenError => ({
+				kind: 'listen-failed',
+				message: `cannot listen at ${host}:${port} (${String(error)}); set a free port of this VM`,
+			}),
+		}),
+	);
+	return Effect.all(binding);
+}
+
+async function bind(server: Server, host: string, port: number): Promise<Server> {
+	return new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({host, port, backlog: 1024}, () => {
+			server.removeListener('error', reject);
+			resolve(server);
+		});
+	});
+}
+
+function createReadinessListener(isReady: () => boolean): Server {
+	return createServer((_request, response) => {
+		response.writeHead(isReady() ? 200 : 503, {'content-length': '0'});
+		response.end();
+	});
+}
--- /dev/null
+++ b/src/relay/parts.ts
@@ -0,0 +1,254 @@
+/**
+ * The parts of a relay node and how they are joined: gate, callers, peers, placer, routes and
+ * metrics share one clock, one log and one view of the members, which comes last.
+ */
+import type {Server} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {formatIngress} from '../call/index.js';
+import type {EventLog} from '../log/index.js';
+import {
+	createMeasuringMeter,
+	trySpend,
+	type MeasuringMeter,
+	type MeasuringUse,
+} from '../measuring/index.js';
+import {isPoller, type Membership} from '../membership/index.js';
+import {createInboundLink} from '../waiting/index.js';
+import type {Adapter} from './adapter.js';
+import {createRelayRunner} from './call-runner.js';
+import {createCallerListener, type CallerListener} from './caller-listener.js';
+import {createRelayGate} from './gate.js';
+import type {RelayGate} from './gate-surface.js';
+import {openGateSocket, type GateSocket} from './gate-socket.js';
+import {createRelayMetrics, type RelayMetrics} from './metrics.js';
+import {createRelayPeerListener} from './peer-listener.js';
+import {createPeers} from './peers.js';
+import {createPlacer} from './placer.js';
+import {routesTopic} from './routes-from-peers.js';
+import {createRoutesHolder, type RoutesHolder} from './routes-in-force.js';
+import {splitAddress, type RelaySettings} from './settings.js';
+
+/** Upper bound of what one datagram takes to encode or decode, in microseconds. */
+const datagramMicroseconds = 20;
+/** Nodes that follow the routes in each failure domain; the domains stand in for each other. */
+const pollersPerDomain = 1;
+/** Time in which a started node learns of the others, so that not all of them poll meanwhile. */
+const pollerSettleMilliseconds = 2000;
+const answerWeight = 0.1;
+
+/** Monotonic time in milliseconds; the clock of all parts. */
+export const now = (): number => performance.now();
+
+/** What the life of a node needs of its parts. */
+export type Parts = {
+	readonly gate: RelayGate;
+	readonly callers: CallerListener;
+	readonly peerListener: Server;
+	readonly holder: RoutesHolder;
+	readonly metrics: RelayMetrics;
+	readonly attach: (membership: Membership) => void;
+	readonly openSocket: () => Promise<GateSocket>;
+	readonly isReady: () => boolean;
+	/** Whether this node follows the table for its failure domain. */
+	readonly isPoller: () => boolean;
+	/** Callers are told, and refused what may last beyond the monotonic time of the end. */
+	readonly setLeaving: (endsAt: number) => void;
+	readonly dump: () => Record<string, unknown>;
+	readonly close: () => void;
+};
+
+/**
+ * Creates the parts; none of them listens yet.
+ *
+ * @param settings checked settings
+ * @param adapter the platform that the node runs on
+ * @param log the event log
+ * @param incarnation number of this life of the node
+ * @returns the parts
+ */
+export function createParts(
+	settings: RelaySettings,
+	adapter: Adapter,
+	log: EventLog,
+	incarnation: number,
+): Parts {
+	const {node, server, listeners} = settings;
+	const {dialect} = adapter;
+	const meter = createMeasuringMeter(settings.measuring);
+	const answerBytes = new Map<string, number>();
+	const createdAt = now();
+	const inboundLink = createInboundLink(node.linkMegabitsPerSecond);
+	let membership: Membership | undefined;
+	let socket: GateSocket | undefined;
+	let leaving = false;
+	const membersOf = (service: string) => membership?.membersOf(service) ?? [];
+	const metrics = createRelayMetrics({
+		gate: () => gate.state(),
+		routesVersion: () => holder.current()?.table.version ?? 0,
+		members: () => membership?.all().length ?? 0,
+		droppedLines: log.countDropped,
+		dump: () => dump(),
+	});
+	const gate = createRelayGate({
+		dialect,
+		log,
+		now,
+		random: Math.random,
+		server: {...splitAddress(server.address), service: server.service},
+		maximumConnections: server.maximumConnections,
+		inboundLink,
+		healthPath: () =>
+			holder.current()?.table.services.find(({name}) => name === server.service)
+				?.healthPath,
+		probesPerSecond: settings.measuring.probesPerSecond,
+		repeats: settings.repeats,
+		countGates: () => Math.max(1, membersOf(server.service).length),
+		onSlots(slots) {
+			membership?.updateSelf({service: slots > 0 ? server.service : undefined, slots});
+		},
+		onEnd: metrics.noteGateEnd,
+	});
+	const holder = createRoutesHolder({
+		decode: adapter.decodeRoutes,
+		log,
+		now,
+		onChange(version) {
+			membership?.publishVersion(routesTopic, version);
+			gate.discover();
+		},
+	});
+	const askingSocket = {
+		askLoad: async (...question: Parameters<GateSocket['askLoad']>) =>
+			socket?.askLoad(...question),
+		askCancel: async (...question: Parameters<GateSocket['askCancel']>) =>
+			socket?.askCancel(...question),
+	};
+	const peers = createPeers({socket: askingSocket, log, now});
+	const placer = createPlacer({
+		place: {nodeId: node.id, region: node.region, failureDomain: node.failureDomain},
+		gate,
+		socket: askingSocket,
+		membersOf,
+		costs: settings.costs,
+		now,
+		random: Math.random,
+		answerBytes: route => answerBytes.get(route) ?? 0,
+	});
+	const callers = createCallerListener({
+		dialect,
+		log,
+		routes: holder.current,
+		run: createRelayRunner({
+			ingressName: formatIngress(node.id, incarnation),
+			nodeId: node.id,
+			gate,
+			peers,
+			placer,
+			log,
+			now,
+			random: Math.random,
+			wallClock: Date.now,
+		}),
+		service: server.service,
+		runsCallerOf: gate.runsCallerOf,
+		inboundLink,
+		now,
+		onEnd(end) {
+			const known = answerBytes.get(end.route) ?? end.bytes;
+			answerBytes.set(end.route, known + (end.bytes - known) * answerWeight);
+			metrics.noteCall(end);
+		},
+	});
+	const dump = (): Record<string, unknown> => ({
+		node: {...node, incarnation, leaving},
+		gate: gate.state(),
+		routesVersion: holder.current()?.table.version,
+		routesSince: holder.current()?.since,
+		callersInFlight: callers.countInFlight(),
+		members: membership?.all(),
+		membership: membership?.dump(),
+		measuring: meter.totals,
+		droppedLines: log.countDropped(),
+	});
+	return {
+		gate,
+		callers,
+		holder,
+		metrics,
+		dump,
+		peerListener: createRelayPeerListener({
+			run: gate.run,
+			routes: () => holder.current()?.text,
+			inboundLink,
+			now,
+		}),
+		attach(joined) {
+			membership = joined;
+			const inForce = holder.current();
+			if (inForce) {
+				joined.publishVersion(routesTopic, inForce.table.version);
+			}
+
+			const {accepting, server: announced} = gate.state();
+			if (accepting) {
+				joined.updateSelf({service: server.service, slots: announced?.slots ?? 0});
+			}
+
+			joined.subscribe((member, previous) => {
+				if (member.status !== previous?.status || member.service !== previous.service) {
+					const {nodeId, status, service, slots} = member;
+					log.info('member changed', {
+						member: nodeId,
+						status,
+						service,
+						slots,
+						incarnation: member.incarnation,
+						before: previous?.status,
+					});
+				}
+			});
+		},
+		async openSocket() {
+			socket = await openGateSocket({
+				address: {host: listeners.bind ?? listeners.host, port: listeners.peer},
+				now,
+				report: gate.report,
+				cancelAttempt: gate.cancelAttempt,
+				incarnation,
+				spend: (use, bytes) => spend(meter, metrics, use, bytes),
+				onError(error) {
+					log.warn('datagram not sent', {reason: error.message});
+				},
+			});
+			return socket;
+		},
+		isReady: () => !leaving && holder.current() !== undefined,
+		isPoller: () =>
+			now() - createdAt > pollerSettleMilliseconds &&
+			isPoller(
+				{nodeId: node.id, failureDomain: node.failureDomain},
+				membership?.all() ?? [],
+				pollersPerDomain,
+			),
+		setLeaving(endsAt) {
+			leaving = true;
+			callers.leave(endsAt);
+		},
+		close() {
+			gate.close();
+			peers.close();
+		},
+	};
+}
+
+function spend(
+	meter: MeasuringMeter,
+	metrics: RelayMetrics,
+	use: MeasuringUse,
+	bytes: number,
+): boolean {
+	const cost = {bytes, processorMicroseconds: datagramMicroseconds};
+	const isGranted = trySpend(meter, use, cost, now());
+	metrics.noteMeasuring(isGranted ? use : 'refused', bytes);
+	return isGranted;
+}
--- a/src/waiting/index.ts
+++ b/src/waiting/index.ts
@@ -6,7 +6,13 @@
 	hasRoomFor,
 	type InboundLink,
 } from './inbound-link.js';
-export {assumeUsualSpeed, currentSlowdown, isSpeedStale, reportSlowdown} from './pace.js';
+export {
+	assumeUsualSpeed,
+	currentSlowdown,
+	isSpeedStale,
+	reportSlowdown,
+	type Pace,
+} from './pace.js';
 export {
 	changeSlots,
 	createQueue,
