--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -9,7 +9,10 @@
 const shortRun = {nodes: 4, milliseconds: 6000, callersPerNode: 3};
 
 const seeds: ReadonlyArray<readonly [number, string]> = [
-	[4, 'planned work alone'],
+	[
+		4,
+		'planned work alone; a call that came 15 ms before the end of a stopping node was cut',
+	],
 	[5, 'mixed faults'],
 ];
 
