Await work that runs at a gate whose receipt was late, until its latency target

Ruled out: a dead gate, which does not answer the question.

Now such an answer is awaited until the latency target.

--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -1,7 +1,8 @@
 /**
  * Sends attempts to the gates of other nodes over kept connections. A gate says at once that it
  * has an attempt; when that word does not come, the connection may have gone silent, and the gate
- * is asked by datagram to cancel what it may have.
+ * is asked by datagram to cancel what it may have. A gate that answers that the server has the
+ * request lives, and its answer is awaited until the latency target before it counts as lost.
  */
 import {Agent} from 'node:http';
 import {
@@ -80,14 +81,24 @@
 			return readPeerResult(result);
 		});
 		const silent = new Promise<AttemptResult>(resolve => {
+			const giveUp = (result: AttemptResult): void => {
+				exchange.cancel();
+				resolve(result);
+			};
+
+			const ask = async (): Promise<void> => {
+				const word = await withdraw(member, attempt, roundTripMilliseconds);
+				const {result, waitMilliseconds} = judgeWord(word, attempt, now());
+				if (result && waitMilliseconds > 0) {
+					watch.timer = setTimeout(giveUp, waitMilliseconds, result);
+				} else if (result) {
+					giveUp(result);
+				}
+			};
+
 			watch.timer = setTimeout(
 				() => {
-					void withdraw(member, attempt, roundTripMilliseconds).then(result => {
-						if (result) {
-							exchange.cancel();
-							resolve(result);
-						}
-					});
+					void ask();
 				},
 				receiptMilliseconds + 2 * roundTripMilliseconds,
 			);
@@ -95,12 +106,12 @@
 		return {result: Promise.race([received, silent]), cancel: exchange.cancel};
 	}
 
-	/** Asks the gate to cancel what it may have; undefined when the answer is still awaited. */
+	/** Asks the gate to cancel what it may have; undefined when it does not answer. */
 	async function withdraw(
 		member: Member,
 		attempt: RelayAttempt,
 		roundTripMilliseconds: number,
-	): Promise<AttemptResult | undefined> {
+	): Promise<boolean | undefined> {
 		const gate = {
 			host: member.host,
 			port: member.peerPort,
@@ -113,18 +124,7 @@
 			gate: member.nodeId,
 			neverDispatched,
 		});
-		if (neverDispatched) {
-			return {
-				kind: attemptResultKinds.refused,
-				refusal: createRefusal(refusalKinds.noServer, 'the gate did not get the attempt'),
-				outcome: outcomes.notRun,
-				load: undefined,
-			};
-		}
-
-		return attempt.call.idempotent
-			? {kind: attemptResultKinds.lost, message: 'the gate gave no receipt'}
-			: undefined;
+		return neverDispatched;
 	}
 
 	return {
@@ -134,3 +134,43 @@
 		},
 	};
 }
+
+/**
+ * Judges a gate's word on an attempt that it gave no receipt for.
+ *
+ * @param neverDispatched whether it was withdrawn unrun; undefined when no word came
+ * @param attempt the attempt
+ * @param now monotonic time in milliseconds
+ * @returns what the attempt comes to, and how long its answer is awaited before; no result when it
+ *   is awaited to the end, as for work that may run and must not be repeated
+ */
+export function judgeWord(
+	neverDispatched: boolean | undefined,
+	{call}: RelayAttempt,
+	now: number,
+): {readonly result: AttemptResult | undefined; readonly waitMilliseconds: number} {
+	if (neverDispatched) {
+		const refusal = createRefusal(
+			refusalKinds.noServer,
+			'the gate did not get the attempt',
+		);
+		const result: AttemptResult = {
+			kind: attemptResultKinds.refused,
+			refusal,
+			outcome: outcomes.notRun,
+			load: undefined,
+		};
+		return {result, waitMilliseconds: 0};
+	}
+
+	if (!call.idempotent) {
+		return {result: undefined, waitMilliseconds: 0};
+	}
+
+	const result: AttemptResult = {
+		kind: attemptResultKinds.lost,
+		message: 'the gate gave no receipt',
+	};
+	const isAtServer = neverDispatched === false;
+	return {result, waitMilliseconds: isAtServer ? Math.max(0, call.targetAt - now) : 0};
+}
