Give the soak's links ports of their own, and print why a known red test failed

The system gave a link's TCP port away to a datagram socket of another run (EADDRINUSE in a soak). The planned stop of the keyed node failed once in eight runs beside load: its entry stays.

--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -103,6 +103,7 @@
 
 	for (const failure of red) {
 		console.log(`known red: ${failure.name} (see KNOWN-RED.txt)`);
+		console.log(failure.cause);
 	}
 
 	console.log(`${passed} passed, ${failures.length} failed`);
--- a/soak/node-process.ts
+++ b/soak/node-process.ts
@@ -75,7 +75,8 @@
  */
 export async function openPlace(options: PlaceOptions): Promise<Place> {
 	const {index, now} = options;
-	const ports = await findFreePorts(7);
+	// Links to TCP ports carry datagrams as well, whose ports the system may have given away.
+	const [serverLinkPort, storeLinkPort, ...ports] = await findFreePorts(9);
 	const [callers, readiness, announcements, peer, gossip, metrics, serverPort] =
 		ports as [number, number, number, number, number, number, number];
 	const reachedAt = `127.0.1.${index + 1}`;
@@ -83,10 +84,14 @@
 	const link = async (port: number): Promise<Relay> =>
 		openRelay({host: reachedAt, port, targetPort: port, targetHost: listensAt});
 	const nodeLinks = [await link(peer), await link(gossip)];
-	const serverLink = await openRelay({host: localHost, port: 0, targetPort: serverPort});
+	const serverLink = await openRelay({
+		host: localHost,
+		port: serverLinkPort!,
+		targetPort: serverPort,
+	});
 	const storeLink = await openRelay({
 		host: localHost,
-		port: 0,
+		port: storeLinkPort!,
 		targetPort: options.storePort,
 	});
 	const serverAddress = `${localHost}:${serverLink.port}`;
