Follow a receipt that comes while its gate is asked

Between the question and its answer the receipt may arrive; the attempt was then given up all the same. test/relay/peers holds it, seen to fail without the check.

--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -60,7 +60,12 @@
 		attempt: RelayAttempt,
 		roundTripMilliseconds: number,
 	): RunningAttempt {
-		const watch: {timer?: NodeJS.Timeout} = {};
+		const watch: {timer?: NodeJS.Timeout; hasReceipt: boolean} = {hasReceipt: false};
+		const noteReceipt = (): void => {
+			watch.hasReceipt = true;
+			clearTimeout(watch.timer);
+		};
+
 		const exchange = startExchange({
 			agent,
 			host: member.host,
@@ -72,12 +77,10 @@
 			awaitContinue: false,
 			connectTimeoutMilliseconds: connectTimeoutMilliseconds + roundTripMilliseconds,
 			holdBytes: heldAnswerBytes,
-			onProcessing() {
-				clearTimeout(watch.timer);
-			},
+			onProcessing: noteReceipt,
 		});
 		const received = exchange.result.then(result => {
-			clearTimeout(watch.timer);
+			noteReceipt();
 			return readPeerResult(result);
 		});
 		const silent = new Promise<AttemptResult>(resolve => {
@@ -89,6 +92,11 @@
 			const ask = async (): Promise<void> => {
 				const word = await withdraw(member, attempt, roundTripMilliseconds);
 				const {result, waitMilliseconds} = judgeWord(word, attempt, now());
+				// The receipt may have come while the gate was asked; then its answer follows.
+				if (watch.hasReceipt) {
+					return;
+				}
+
 				if (result && waitMilliseconds > 0) {
 					watch.timer = setTimeout(giveUp, waitMilliseconds, result);
 				} else if (result) {
--- a/test/relay/peers.test.ts
+++ b/test/relay/peers.test.ts
@@ -1,10 +1,15 @@
 /** What becomes of an attempt whose receipt does not come, for each word of its gate. */
+import {createServer} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {AddressInfo} from 'node:net';
 import {test} from 'node:test';
 import {expect} from 'earl';
+import type {Member} from '../../src/membership/index.js';
 import type {RelayAttempt} from '../../src/relay/call.js';
-import {judgeWord} from '../../src/relay/peers.js';
+import {createPeers, judgeWord} from '../../src/relay/peers.js';
 
 const now = 10_000;
+const ignore = (): void => undefined;
 
 function createAttempt(idempotent: boolean, targetAt: number): RelayAttempt {
 	return {
@@ -60,3 +65,49 @@
 		expect(waitMilliseconds).toEqual(wait);
 	});
 }
+
+test('an answer is awaited when its receipt comes while the gate is asked', async context => {
+	const server = createServer((_request, response) => {
+		setTimeout(() => {
+			response.writeProcessing();
+		}, 270);
+		setTimeout(() => {
+			response.writeHead(200, {'foxtailtide-outcome': 'ran', 'content-length': 2});
+			response.end('ok');
+		}, 500);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	context.after(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	const peers = createPeers({
+		socket: {
+			async askCancel() {
+				await sleep(40);
+				return false;
+			},
+		},
+		log: {info: ignore, warn: ignore, error: ignore},
+		now: () => now,
+	});
+	const member: Member = {
+		nodeId: 'gate',
+		incarnation: 1,
+		status: 'alive',
+		host: '127.0.0.1',
+		peerPort: (server.address() as AddressInfo).port,
+		controlPort: 1,
+		region: 'coast',
+		failureDomain: 'coast-a',
+		slots: 1,
+		revision: 1,
+	};
+	// Its latency target has passed, so that without a receipt it would be given up at once.
+	const {result} = peers.send(member, createAttempt(true, now - 1), 1);
+	const ended = await result;
+	expect<string>(ended.kind).toEqual('answered');
+	peers.close();
+});
