--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -41,7 +41,8 @@
 /** A span in which something at a place was disturbed; the target is undefined for all. */
 export type Disturbance = {
 	readonly from: number;
-	readonly until: number;
+	/** Infinite while it lasts. */
+	until: number;
 	readonly target: number | undefined;
 };
 
--- a/soak/strike.ts
+++ b/soak/strike.ts
@@ -39,40 +39,37 @@
  * @returns resolves when the fault is over
  */
 export async function strike(world: World, fault: Fault): Promise<void> {
-	const from = world.now();
-	const ofAll = storeKinds.has(fault.kind);
-	const disturbance = {
-		from,
-		until: Number.POSITIVE_INFINITY,
-		target: ofAll ? undefined : fault.target,
-	};
-	// A disturbed node or server is felt by the callers of every node that sends work there.
-	if (isDisturbance(fault.kind)) {
-		world.disturbances.push({...disturbance, target: undefined});
-	} else if (fault.kind === faultKinds.stopNode) {
+	const disturbance = describeDisturbance(fault, world.now());
+	if (disturbance) {
 		world.disturbances.push(disturbance);
 	}
 
 	const place = world.places[fault.target]!;
 	await strikes[fault.kind]({world, place, milliseconds: fault.milliseconds});
-	const last = world.disturbances.findLastIndex(entry => entry.from === from);
-	if (last !== -1) {
-		world.disturbances[last] = {...world.disturbances[last]!, until: world.now()};
+	if (disturbance) {
+		disturbance.until = world.now();
 	}
 }
 
+/** Callers of every node feel a disturbed node or server; a planned stop only those of its node. */
+function describeDisturbance(
+	{kind, target}: Fault,
+	from: number,
+): Disturbance | undefined {
+	const until = Number.POSITIVE_INFINITY;
+	if (isDisturbance(kind)) {
+		return {from, until, target: undefined};
+	}
+
+	return kind === faultKinds.stopNode ? {from, until, target} : undefined;
+}
+
 type Strike = {
 	readonly world: World;
 	readonly place: Place;
 	readonly milliseconds: number;
 };
 
-const storeKinds: ReadonlySet<FaultKind> = new Set([
-	faultKinds.refuseAtStore,
-	faultKinds.slowStore,
-	faultKinds.loseStoreAnswers,
-]);
-
 const strikes: Readonly<Record<FaultKind, (strike: Strike) => Promise<void>>> = {
 	[faultKinds.stopNode]: async ({place}) => place.restartNode('SIGTERM'),
 	[faultKinds.killNode]: async ({place}) => place.restartNode('SIGKILL'),
