--- a/test/membership/regions.test.ts
+++ b/test/membership/regions.test.ts
@@ -35,10 +35,10 @@
 	startMembers(mesh, 60, describePlace);
 	mesh.run(30 * second);
 	const bytes = {inside: 0, outside: 0};
-
 	mesh.onSend = (from, to, size) => {
 		bytes[sharesRegion(from, to) ? 'inside' : 'outside'] += size;
 	};
+
 	mesh.run(60 * second);
 	expect(bytes.outside).toBeLessThanOrEqual((bytes.inside + bytes.outside) / 5);
 });
