Keep the order of requests sent behind each other, also in a planned stop

Cause, seen with raw sockets on: of two requests sent together in a planned stop the first was answered with a close while the second had already run and got no answer; malformed bytes behind two good requests closed the connection without any answer; all requests of one connection ran at once, also those that must not run twice; after the caller left, the requests waiting behind ran all the same. A body without end held its caller until the caller's own limit (11 s measured).

Change: caller-connections.ts decides which requests of a connection run: up to eight idempotent ones at the same time, any other only after the answers before it; from 32 on the connection is read no further. In a planned stop the response to the last started request closes, nothing behind it starts. Malformed bytes are refused after the answers before them. A streamed body ends at its call's deadline, and a close-delimited one with a reset.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -7,6 +7,11 @@
 	type ExtraHeaders,
 } from './response.js';
 export {bufferOrStream, collectBody} from './buffer-body.js';
+export {
+	createCallerConnections,
+	type CallerConnections,
+	type CallerConnectionsOptions,
+} from './caller-connections.js';
 export {closeToNewConnections} from './close.js';
 export {
 	exchangeKinds,
--- a/src/http/response.ts
+++ b/src/http/response.ts
@@ -53,9 +53,16 @@
 	}
 
 	pipeline(serverResponse.body, response, error => {
-		if (error) {
-			response.destroy();
+		if (!error) {
+			return;
 		}
+
+		// Without a length, an orderly close would mark the truncated body as complete.
+		if (serverResponse.isCloseDelimited) {
+			response.socket?.resetAndDestroy();
+		}
+
+		response.destroy();
 	});
 }
 
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -23,7 +23,7 @@
 	type Refusal,
 } from '../call/index.js';
 import {
-	createOpenCalls,
+	createCallerConnections,
 	refuseMalformed,
 	writeResponse,
 	writeRefusal,
@@ -108,24 +108,34 @@
 		maxHeaderSize: maximumHeaderBytes,
 		noDelay: true,
 	});
-	const openCalls = createOpenCalls();
+	const connections = createCallerConnections({
+		isIdempotent: request => matchRoute(request, options.routes())?.idempotent ?? false,
+		start: handleRequest,
+		refuseMalformed(error, connection, state) {
+			log.info('request malformed', {reason: error.message});
+			refuseMalformed(error, connection, state);
+		},
+		now,
+	});
 	const roundRobin = createRoundRobinState();
 	let inFlight = 0;
 	let stopsAt = Number.POSITIVE_INFINITY;
 	let lastRequestAt = now();
 
-	function handleRequest(request: IncomingMessage, response: ServerResponse): void {
-		const arrivedAt = now();
-		lastRequestAt = arrivedAt;
+	function receive(request: IncomingMessage, response: ServerResponse): void {
+		lastRequestAt = now();
 		inFlight += 1;
-		openCalls.add(request, response);
 		response.once('close', () => {
 			inFlight -= 1;
 		});
-		if (stopsAt < Number.POSITIVE_INFINITY) {
-			response.shouldKeepAlive = false;
-		}
+		connections.add(request, response);
+	}
 
+	function handleRequest(
+		request: IncomingMessage,
+		response: ServerResponse,
+		arrivedAt: number,
+	): void {
 		const metadata = protocol.readCallerHeaders(request.rawHeaders);
 		const activeRoutes = options.routes();
 		if (activeRoutes === undefined) {
@@ -141,8 +151,7 @@
 		}
 
 		server.keepAliveTimeout = activeRoutes.table.limits.idleTimeoutMilliseconds;
-		const host = findHeader(request.rawHeaders, 'host') ?? '';
-		const route = findRoute(activeRoutes.index, host, request.url!);
+		const route = matchRoute(request, activeRoutes);
 		if (route === undefined) {
 			const message = `no route of version ${activeRoutes.table.version} matches: check host and path`;
 			refuse(response, metadata, createRefusal(refusalKinds.unknownService, message));
@@ -237,7 +246,9 @@
 		if (result.kind === attemptResultKinds.answered) {
 			const bytes = isBuffered(result.body) ? result.body.length : 0;
 			recordEnd(call, {status: result.status, outcome: outcomes.ran, bytes});
+			connections.prepareResponse(response);
 			writeResponse(response, result);
+			limitStream(result.body, call.deadlineAt - now());
 			return;
 		}
 
@@ -305,24 +316,48 @@
 		const extra = protocol.buildRefusalHeaders(metadata.requestId, refusal);
 		// The platform's protocol has its own header for the retry delay.
 		const withoutRetryAfter = {...refusal, status, retryAfterMilliseconds: undefined};
+		connections.prepareResponse(response);
 		writeRefusal(response, withoutRetryAfter, outcome, extra);
 	}
 
-	server.on('request', handleRequest);
-	server.on('clientError', (error, socket) => {
-		log.info('request malformed', {reason: error.message});
-		refuseMalformed(error, socket, openCalls.getConnectionState(socket));
-	});
+	server.on('request', receive);
+	server.on('clientError', connections.endAfterMalformed);
 	return {
 		server,
 		drain(end) {
 			stopsAt = end;
+			connections.drain();
 		},
 		countInFlight: () => inFlight,
 		lastRequestAt: () => lastRequestAt,
 	};
 }
 
+function matchRoute(
+	request: IncomingMessage,
+	activeRoutes: ActiveRoutes | undefined,
+): Route | undefined {
+	const host = findHeader(request.rawHeaders, 'host') ?? '';
+	return activeRoutes && findRoute(activeRoutes.index, host, request.url!);
+}
+
+/** Breaks off a streamed body at the deadline of its call; a faulty server may send without end. */
+function limitStream(body: Body, milliseconds: number): void {
+	if (isBuffered(body)) {
+		return;
+	}
+
+	const timer = setTimeout(
+		() => {
+			body.destroy(new Error('the body did not end before the deadline'));
+		},
+		Math.max(0, milliseconds),
+	);
+	body.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
 type ReceivedRequest = {
 	readonly metadata: CallerRequestMetadata;
 	readonly route: Route;
--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -33,6 +33,8 @@
 	breakOff: 'break-off',
 	/** Runs the request and responds with the id of another request. */
 	confuse: 'confuse',
+	/** Runs the request and sends a body without end. */
+	endless: 'endless',
 	/** Runs the request and never responds. */
 	mute: 'mute',
 } as const;
@@ -119,6 +121,15 @@
 			return;
 		}
 
+		if (behaviour === serverBehaviours.endless) {
+			response.writeHead(200, {
+				'x-request-id': requestId,
+				'x-response-seal': `seal-${requestId}`,
+			});
+			writeWithoutEnd(response);
+			return;
+		}
+
 		const id = behaviour === serverBehaviours.confuse ? `${requestId}-other` : requestId;
 		const body = `answer to ${id}`;
 		response.writeHead(behaviour === serverBehaviours.fail ? 500 : 200, {
@@ -234,6 +245,15 @@
 	});
 }
 
+/** Writes until the peer closes the connection. */
+function writeWithoutEnd(response: ServerResponse): void {
+	if (!response.destroyed) {
+		response.write('b'.repeat(16_384), () => {
+			setImmediate(writeWithoutEnd, response);
+		});
+	}
+}
+
 type NodeAddress = {
 	readonly host: string;
 	readonly port: number;
