--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -16,6 +16,7 @@
 import type {PlatformAdapter} from './adapter.js';
 import {bindListeners, type ListenError} from './listeners.js';
 import {createComponents, now, type RelayComponents} from './components.js';
+import {relayMembershipParameters} from './membership-parameters.js';
 import {followRoutes} from './routes-follower.js';
 import {followPeerRoutes} from './peer-routes.js';
 import type {RelaySettings} from './settings.js';
@@ -31,21 +32,6 @@
 /** Why a relay did not start. */
 export type RelayStartError = MembershipError | ListenError;
 
-/**
- * Restarts are frequent, and a restarted node uses only its own gate until it knows the others.
- * It therefore looks for them more often than a node in a mesh that seldom changes.
- */
-const membershipParameters = {
-	reconnectIntervalMilliseconds: 1000,
-	seedContactIntervalMilliseconds: 5000,
-	joinTimeoutMilliseconds: 500,
-	settleMilliseconds: 100,
-	joinIntervalMilliseconds: 200,
-	gossipIntervalMilliseconds: 100,
-	/** Limit on membership traffic. */
-	bytesPerSecond: 8192,
-	burstBytes: 16_384,
-};
 const stopCheckMilliseconds = 50;
 
 /**
@@ -123,7 +109,7 @@
 		seeds: settings.seeds,
 		now,
 		random: Math.random,
-		parameters: membershipParameters,
+		parameters: relayMembershipParameters,
 		...createSeedTable(adapter.table),
 	});
 }
--- a/test/membership/idle.test.ts
+++ b/test/membership/idle.test.ts
@@ -1,21 +1,13 @@
 /** What a member without news costs: how often it wakes and what it sends. */
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {relayMembershipParameters} from '../../src/relay/membership-parameters.js';
 import {createMesh, startMembers} from './simulated-mesh.js';
 
+const parameters = relayMembershipParameters;
 const second = 1000;
 const settleSeconds = 60;
 const quietSeconds = 60;
-/** Parameters of nodes that restart often and therefore look for lost members every second. */
-const parameters = {
-	reconnectIntervalMilliseconds: second,
-	seedContactIntervalMilliseconds: 5 * second,
-	gossipIntervalMilliseconds: 100,
-	joinIntervalMilliseconds: 200,
-	bytesPerSecond: 8192,
-	burstBytes: 16_384,
-};
-
 for (const count of [24, 100]) {
 	test(`each of ${count} members without news wakes at most six times and sends at most three datagrams a second`, () => {
 		const mesh = createMesh({seed: 7, parameters});
--- a/test/membership/regions.test.ts
+++ b/test/membership/regions.test.ts
@@ -6,21 +6,13 @@
 import {expect} from 'earl';
 import {memberStatuses} from '../../src/membership/member.js';
 import {isIsolated} from '../../src/membership/pollers.js';
+import {relayMembershipParameters} from '../../src/relay/membership-parameters.js';
 import {createMesh, startMembers, statusSeenBy, type MeshNode} from './simulated-mesh.js';
 
+const parameters = relayMembershipParameters;
 const second = 1000;
 const regions = ['north', 'middle', 'south'];
 const domainsPerRegion = 3;
-/** Parameters of relay nodes. */
-const parameters = {
-	reconnectIntervalMilliseconds: second,
-	seedContactIntervalMilliseconds: 5 * second,
-	gossipIntervalMilliseconds: 100,
-	joinIntervalMilliseconds: 200,
-	bytesPerSecond: 8192,
-	burstBytes: 16_384,
-};
-
 function describePlace(index: number) {
 	const region = regions[index % regions.length]!;
 	const domain = Math.floor(index / regions.length) % domainsPerRegion;
