Reject a closing summary without the incarnation of its home

Cause: found by reading. A summary with an empty incarnation would have been taken for that of any start of its node. Test: binding/ledger, seen to fail first.

--- a/src/binding/closing.ts
+++ b/src/binding/closing.ts
@@ -75,6 +75,7 @@
 		const message = ClosingSummary.decode(Buffer.from(text, 'base64'));
 		const isValid =
 			message.homeNodeId !== '' &&
+			message.homeIncarnation !== '' &&
 			message.ran.length % digestBytes === 0 &&
 			message.unknown.length % digestBytes === 0;
 		return isValid
--- a/test/binding/ledger.test.ts
+++ b/test/binding/ledger.test.ts
@@ -175,6 +175,16 @@
 	expect(findExecutionOutcome(request, undefined)).toEqual(executionOutcomes.unknown);
 });
 
+test('a summary without the incarnation of its home is rejected', () => {
+	const ledger = createLedger();
+	runAndAnswer(ledger);
+	beginClosing(ledger);
+	const keys = finishClosing(ledger, 900);
+	expect(decodeClosing(encodeClosing({...home, incarnation: ''}, keys!))).toEqual(
+		undefined,
+	);
+});
+
 test('a malformed summary is rejected', () => {
 	for (const text of ['', 'AAAA', 'not a summary', '/////w==']) {
 		expect(decodeClosing(text)).toEqual(undefined);
