State the versions of a few topics in every probe

A rumour lives for some 400 ms; a member that the others hold dead or stopped at that moment gets it from nobody and learns of the version only by a sync, up to 10 s later, while the answers to its own probes show that it is not isolated.

Change: pings, their answers and notices state the versions of up to four topics. Test: regions.test.ts, a member cut off for 0.9 s during the gossip knows the version within 1.5 s; seen to fail first.

--- a/src/membership/send.ts
+++ b/src/membership/send.ts
@@ -4,11 +4,16 @@
 import {datagramOverheadBytes, encodePacket, maximumDatagramBytes} from './codec.js';
 import {type Address, type Body, type Rumour} from './message.js';
 import {countTransmissions} from './parameters.js';
-import {type EventContext} from './state.js';
+import {type EventContext, type MembershipState} from './state.js';
+
+/** Number of topics up to which every probe states their versions. */
+const maximumStatedTopics = 4;
 
 /**
  * Sends a probe, an answer to one, or a notice of a suspicion or a stop. It may use the whole
- * budget, including the reserve for such packets; piggybacked rumours may not use the reserve.
+ * budget, including the reserve for such packets; piggybacked rumours may not use the reserve. Every
+ * such packet states the versions of a few topics, so that a member that missed the rumour of one
+ * learns of it with its next probe, not only with its next sync.
  *
  * @param context context of the event
  * @param address destination
@@ -24,11 +29,12 @@
 ): boolean {
 	const {state} = context;
 	const from = state.self.member.nodeId;
-	const bare = encodePacket({from, body, rumours});
+	const required = [...rumours, ...listFewVersions(state)];
+	const bare = encodePacket({from, body, rumours: required});
 	const piggybacked = dequeuePiggybackedRumours(context, bare.length);
 	const bytes =
 		piggybacked.length > 0
-			? encodePacket({from, body, rumours: [...rumours, ...piggybacked]})
+			? encodePacket({from, body, rumours: [...required, ...piggybacked]})
 			: bare;
 	return sendBytes(context, address, bytes, state.budget.tokens);
 }
@@ -84,6 +90,15 @@
 	return budget.tokens - parameters.probeReserveBytes;
 }
 
+/** Lists the versions if there are only a few; the digest of a sync covers more. */
+function listFewVersions({topics}: MembershipState): Rumour[] {
+	if (topics.size > maximumStatedTopics) {
+		return [];
+	}
+
+	return [...topics].map(([topic, version]) => ({kind: 'version', topic, version}));
+}
+
 /** Takes the queued rumours that fit beside `bareBytes` without using the reserves. */
 function dequeuePiggybackedRumours(context: EventContext, bareBytes: number): Rumour[] {
 	const {rumourQueue, parameters, roster} = context.state;
--- a/test/membership/regions.test.ts
+++ b/test/membership/regions.test.ts
@@ -73,6 +73,26 @@
 	);
 });
 
+test('a member that missed the gossip of a version learns of it within 1.5 s of its return', () => {
+	const mesh = createMesh({seed: 15, parameters});
+	const nodes = startMembers(mesh, 90, describePlace);
+	mesh.run(20 * second);
+	const missing = nodes[40]!;
+	for (let version = 1; version <= 5; version += 1) {
+		mesh.isCut = (from, to) => from === missing || to === missing;
+		mesh.send(nodes[3]!, {kind: 'publishVersion', topic: 'routes', version});
+		// Shorter than a pause that the member would detect, longer than the rumour lives.
+		mesh.run(0.9 * second);
+		mesh.isCut = () => false;
+		const elapsed = mesh.runUntil(
+			() => missing.state.topics.get('routes') === version,
+			1.5 * second,
+		);
+		expect(elapsed === undefined).toEqual(false);
+		mesh.run(5 * second);
+	}
+});
+
 test('a member cut off from all others is isolated within 1.5 s, and none is without a cut', () => {
 	const mesh = createMesh({seed: 14, parameters});
 	const nodes = startMembers(mesh, 24, describePlace);
