Fetch a version of the routes that became known while the node joined

Where the table was read just before a change, the node knew that version 17 existed, held 14, and fetched nothing until the next version. Ruled out: gossip (all others had the version within 0.4 s), matching of routes.

Change: the follower fetches at its start when it is behind what is known. Test: routes.test.ts, seen to fail first.

--- a/src/relay/peer-routes.ts
+++ b/src/relay/peer-routes.ts
@@ -55,7 +55,7 @@
 	}
 
 	/** Asks the next peer when one has not answered after a short time; its answer still counts. */
-	async function fetchFromPeers(announcer: string): Promise<void> {
+	async function fetchFromPeers(announcer: string | undefined): Promise<void> {
 		const order = orderPeers(membership, announcer, random);
 		for (const member of order.slice(0, peersPerRound)) {
 			const answer = activateFrom(member);
@@ -76,7 +76,7 @@
 		holder.activate(text, member.nodeId);
 	}
 
-	async function catchUp(announcer: string): Promise<void> {
+	async function catchUp(announcer?: string): Promise<void> {
 		if (isCatchingUp) {
 			return;
 		}
@@ -98,6 +98,11 @@
 			void catchUp(announcer);
 		}
 	});
+	// A version that arrived while this node joined was announced before anyone listened.
+	if (isBehind()) {
+		void catchUp();
+	}
+
 	return {
 		close() {
 			state.isClosed = true;
@@ -111,7 +116,7 @@
  */
 function orderPeers(
 	membership: Pick<Membership, 'all' | 'self'>,
-	announcer: string,
+	announcer: string | undefined,
 	random: () => number,
 ): Member[] {
 	const {nodeId: ownId, failureDomain, region} = membership.self();
--- a/test/relay/routes.test.ts
+++ b/test/relay/routes.test.ts
@@ -81,14 +81,17 @@
 	};
 }
 
-function createPeersView(members: readonly Member[], version: number) {
+/** A view in which a version is known from the start, or only once it is announced. */
+function createPeersView(members: readonly Member[], version: number, isKnown = false) {
+	let known = isKnown ? version : 0;
 	let announce: ((from: string) => void) | undefined;
 	const membership: PeersView = {
 		all: () => members,
 		self: () => createMember('self', 'near'),
-		versionOf: () => version,
+		versionOf: () => known,
 		onVersion(listener) {
 			announce = from => {
+				known = version;
 				listener(routesTopic, version, from);
 			};
 		},
@@ -193,3 +196,18 @@
 	follower.close();
 	expect(holder.current()?.table.version).toEqual(3);
 });
+
+test('a node that learned of a version while it joined fetches it without another announcement', async () => {
+	const holder = createHolder();
+	const {membership} = createPeersView([createMember('near', 'near')], 3, true);
+	const follower = followPeerRoutes({
+		holder,
+		membership,
+		log: silentLog,
+		random: () => 0,
+		fetch: async () => '3',
+	});
+	await waitUntil(() => holder.current() !== undefined);
+	follower.close();
+	expect(holder.current()?.table.version).toEqual(3);
+});
