Log the request rate that a server names, and its source

The adapter now reads it from each response, also from those of the health path; the gate logs changes and reports the limit as a metric. No decision uses it yet.

--- a/src/relay/gate-types.ts
+++ b/src/relay/gate-types.ts
@@ -57,6 +57,8 @@
 	readonly running: number;
 	readonly waiting: number;
 	readonly limit: number;
+	/** Requests a second that the server takes; infinite if it names no limit. */
+	readonly requestsPerSecond: number;
 	readonly failureShare: number;
 };
 
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -58,6 +58,7 @@
 import type {ServerHealth} from './platform-protocol.js';
 import {describeEntry, createGateRequest, type GateEntry} from './gate-entry.js';
 import type {RelayGate, RelayGateOptions} from './gate-types.js';
+import {createServerNotices, noticeSources} from './server-notices.js';
 import {createSpeedProbe} from './speed-probe.js';
 import {
 	createServerClient,
@@ -90,6 +91,7 @@
 		address: `${server.host}:${server.port}`,
 		service: server.service,
 	};
+	const notices = createServerNotices(log);
 	let queue: QueueState = createQueue(0);
 	let failureRate: FailureRate = createFailureRate();
 	let record: ServerRecord | undefined;
@@ -101,7 +103,7 @@
 		probesPerSecond: options.probesPerSecond,
 		now,
 		serverSpeed: () => queue.speed,
-		onHealth: adoptFromHealth,
+		onHealth: handleHealth,
 		onTimeout() {
 			markUnreachable(
 				'the health path does not respond',
@@ -226,6 +228,13 @@
 		});
 	}
 
+	function handleHealth(health: ServerHealth): void {
+		adoptFromHealth(health);
+		if (health.serverId !== undefined && health.serverId === record?.id) {
+			notices.record(health, noticeSources.health, record.id);
+		}
+	}
+
 	/** After the node's start, registers the server by its health until it announces itself. */
 	function adoptFromHealth(health: ServerHealth): void {
 		const {serverId, slots, isHealthy} = health;
@@ -341,6 +350,10 @@
 			recordSlowdown(queue.speed, result.metadata.slowdown, finishedAt);
 		}
 
+		if (result.notice) {
+			notices.record(result.notice, noticeSources.response, record?.id);
+		}
+
 		if (entry.cancelled) {
 			return;
 		}
@@ -435,6 +448,7 @@
 	function resetForNewInstance(): void {
 		client.discardConnections();
 		failureRate = createFailureRate();
+		notices.reset();
 		const previous = queue;
 		queue = createQueue(previous.slots);
 		for (const [key, running] of previous.running) {
@@ -546,6 +560,7 @@
 			running: queue.running.size,
 			waiting: queue.waiting.size,
 			limit: queue.limit,
+			requestsPerSecond: notices.requestsPerSecond(),
 			failureShare: currentFailureShare(failureRate, now()),
 		}),
 		close() {
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -3,6 +3,7 @@
 export type {
 	CallerRequestMetadata,
 	PlatformProtocol,
+	ServerNotice,
 	ServerResponseMetadata,
 	ServerRequestMetadata,
 } from './platform-protocol.js';
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -80,6 +80,11 @@
 			'Requests that it may run at once.',
 			() => sources.gate().limit,
 		],
+		[
+			'foxtailtide_server_requests_per_second',
+			'Requests a second that the own server takes; infinite if it names no limit.',
+			() => sources.gate().requestsPerSecond,
+		],
 		['foxtailtide_routes_version', 'Version in force.', sources.routesVersion],
 		['foxtailtide_members', 'Nodes that are held alive.', sources.members],
 		['foxtailtide_log_lines_dropped', 'Log lines dropped.', sources.droppedLines],
--- a/src/relay/platform-protocol.ts
+++ b/src/relay/platform-protocol.ts
@@ -12,8 +12,19 @@
 	readonly timeoutMilliseconds: number | undefined;
 };
 
+/** What a server states about itself in each of its responses, also those of its health path. */
+export type ServerNotice = {
+	/**
+	 * Requests a second that the server takes from all nodes together; infinite if it names no limit,
+	 * undefined if the limit cannot be read.
+	 */
+	readonly requestsPerSecond: number | undefined;
+	/** Whether the server is about to leave. */
+	readonly isLeaving: boolean;
+};
+
 /** What the status and headers of a server's response say about it. */
-export type ServerResponseMetadata = {
+export type ServerResponseMetadata = ServerNotice & {
 	/** Id of the request that it answers; undefined if not given. */
 	readonly requestId: string | undefined;
 	/** Whether the server declares that it did not run the request. */
@@ -27,7 +38,7 @@
 };
 
 /** What a server's health path reports. */
-export type ServerHealth = {
+export type ServerHealth = ServerNotice & {
 	/** Whether the server is healthy and not leaving. */
 	readonly isHealthy: boolean;
 	/** Undefined if not given. */
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -23,6 +23,7 @@
 import type {RelayCall} from './call.js';
 import type {
 	PlatformProtocol,
+	ServerNotice,
 	ServerResponseMetadata,
 	ServerHealth,
 } from './platform-protocol.js';
@@ -51,6 +52,8 @@
 	serverId: undefined,
 	slots: undefined,
 	slowdown: undefined,
+	requestsPerSecond: undefined,
+	isLeaving: false,
 };
 
 /** How a request at the server ended. */
@@ -74,6 +77,8 @@
 	readonly result: AttemptResult;
 	/** Undefined without a response. */
 	readonly metadata: ServerResponseMetadata | undefined;
+	/** What the server states about itself; undefined without a response of this server. */
+	readonly notice: ServerNotice | undefined;
 	/** For the log. */
 	readonly reason: string;
 };
@@ -190,6 +195,7 @@
 						kind: serverResultKinds.lost,
 						result: createLostResult(fault),
 						metadata,
+						notice: undefined,
 						reason: fault,
 					};
 		}
@@ -201,6 +207,7 @@
 				kind: serverResultKinds.unreachable,
 				result: createNotRunResult(refusalKinds.noServer, text),
 				metadata: undefined,
+				notice: undefined,
 				reason,
 			};
 		}
@@ -210,6 +217,7 @@
 			kind: serverResultKinds.lost,
 			result: createLostResult(reason),
 			metadata: undefined,
+			notice: undefined,
 			reason,
 		};
 	}
@@ -317,7 +325,13 @@
 			refusalKinds.noServer,
 			`${reason}: try again shortly`,
 		);
-		return {kind: serverResultKinds.unreachable, result, metadata, reason};
+		return {
+			kind: serverResultKinds.unreachable,
+			result,
+			metadata,
+			notice: undefined,
+			reason,
+		};
 	}
 
 	if (metadata.declaredNotRun) {
@@ -326,7 +340,7 @@
 			refusalKinds.serverFailed,
 			`${reason}: try again shortly`,
 		);
-		return {kind: serverResultKinds.shed, result, metadata, reason};
+		return {kind: serverResultKinds.shed, result, metadata, notice: metadata, reason};
 	}
 
 	const hasFailed = response.status >= firstFailureStatus;
@@ -341,6 +355,7 @@
 			load: undefined,
 		},
 		metadata,
+		notice: metadata,
 		reason: `status ${response.status}`,
 	};
 }
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -64,6 +64,28 @@
 	).toEqual([5, 1, undefined, undefined]);
 });
 
+test('a named limit is read as requests a second, and an invalid one says nothing', () => {
+	const read = (limit: string) => {
+		const headers = ['Server-Limit', limit];
+		return [
+			platformProtocol.readServerResponse(200, headers).requestsPerSecond,
+			platformProtocol.readServerHealth(200, headers).requestsPerSecond,
+		];
+	};
+
+	expect(['8.1', '0', '-3', '1e9', 'many', ''].map(limit => read(limit))).toEqual([
+		[8.1, 8.1],
+		[0, 0],
+		[undefined, undefined],
+		[undefined, undefined],
+		[undefined, undefined],
+		[undefined, undefined],
+	]);
+	expect(platformProtocol.readServerResponse(200, []).requestsPerSecond).toEqual(
+		Number.POSITIVE_INFINITY,
+	);
+});
+
 const statuses: ReadonlyArray<
 	readonly [keyof typeof refusalKinds, keyof typeof outcomes, number]
 > = [
