--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -41,6 +41,13 @@
 
 export type ServerBehaviour = (typeof serverBehaviours)[keyof typeof serverBehaviours];
 
+/** What a server states about itself in its responses. */
+export type StandInNotice = {
+	/** Requests a second that it takes; no limit if absent. */
+	readonly requestsPerSecond?: number;
+	readonly isLeaving?: boolean;
+};
+
 /** A request that the server started to run. */
 export type ReceivedRequest = {
 	readonly requestId: string;
@@ -61,6 +68,8 @@
 	/** Deregisters at the node; resolves with the status of the response. */
 	readonly deregister: () => Promise<number>;
 	readonly setBehaviour: (behaviour: ServerBehaviour) => void;
+	/** States a limit on the request rate, or that the server leaves, in each response. */
+	readonly setNotice: (notice: StandInNotice) => void;
 	/** Resets the connection, after processing, of requests whose path contains this. */
 	readonly resetConnectionsOnPath: (path: string) => void;
 	/** Stops immediately; resolves when its port is free. */
@@ -84,13 +93,18 @@
 		behaviour: serverBehaviours.normal as ServerBehaviour,
 		node: undefined as NodeAddress | undefined,
 	};
+	let statedNotice: StandInNotice = {};
 	let timer: NodeJS.Timeout | undefined;
 
 	function handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const requestId = String(request.headers['x-request-id']);
 		request.resume();
 		if (state.behaviour === serverBehaviours.shed) {
-			response.writeHead(503, {'x-request-id': requestId, 'x-not-executed': 'full'});
+			response.writeHead(503, {
+				'x-request-id': requestId,
+				'x-not-executed': 'full',
+				...listNoticeHeaders(),
+			});
 			response.end();
 			return;
 		}
@@ -125,6 +139,7 @@
 			response.writeHead(200, {
 				'x-request-id': requestId,
 				'x-response-seal': `seal-${requestId}`,
+				...listNoticeHeaders(),
 			});
 			writeWithoutEnd(response);
 			return;
@@ -137,6 +152,7 @@
 			'x-response-seal': `seal-${id}`,
 			'x-instance-load': describeLoad(),
 			'content-length': body.length,
+			...listNoticeHeaders(),
 		});
 		if (behaviour === serverBehaviours.breakOff) {
 			response.write(body.slice(0, -1), () => {
@@ -152,6 +168,16 @@
 		return `${state.running},0,${options.slots},${normalSpeed}`;
 	}
 
+	function listNoticeHeaders(): Record<string, string> {
+		const {requestsPerSecond, isLeaving} = statedNotice;
+		return {
+			...(requestsPerSecond === undefined
+				? {}
+				: {'server-limit': String(requestsPerSecond)}),
+			...(isLeaving ? {'server-leaving': '1'} : {}),
+		};
+	}
+
 	async function sendHeartbeat(status: 'ready' | 'draining'): Promise<number> {
 		const {node} = state;
 		if (node === undefined) {
@@ -178,6 +204,7 @@
 				'x-instance-id': options.id,
 				'x-instance-load': describeLoad(),
 				'content-length': 0,
+				...listNoticeHeaders(),
 			});
 			response.end();
 			return;
@@ -208,6 +235,9 @@
 		setBehaviour(behaviour) {
 			state.behaviour = behaviour;
 		},
+		setNotice(notice) {
+			statedNotice = notice;
+		},
 		resetConnectionsOnPath(path) {
 			state.resetPath = path;
 		},
--- a/test/support/relay-mesh.ts
+++ b/test/support/relay-mesh.ts
@@ -25,7 +25,10 @@
 export type LogLine = Readonly<Record<string, unknown>> & {readonly message: string};
 
 export type RelayNode = {
+	/** The current process; another one after a restart. */
 	readonly child: ChildProcess;
+	/** Kills the process, if it still runs, and starts another with the same settings. */
+	readonly restart: () => Promise<void>;
 	readonly server: StandInPlatformServer;
 	readonly callersPort: number;
 	readonly readinessPort: number;
@@ -36,6 +39,7 @@
 	/** Gossip over UDP. */
 	readonly gossipPort: number;
 	readonly logs: LogLine[];
+	/** The end of the current process. */
 	readonly ended: Promise<unknown>;
 };
 
@@ -159,21 +163,24 @@
 		repeats: {ratio: 0.2, slack: 58, windowMilliseconds: 10_000},
 	};
 	const file = writeSettings(settings);
-	const {nodeFlags = []} = options;
-	const child = spawn(process.execPath, [...nodeFlags, program, 'run', file], {
-		stdio: ['ignore', 'pipe', 'inherit'],
-	});
-	const ended = once(child, 'exit');
 	const logs: LogLine[] = [];
-	createInterface({input: child.stdout}).on('line', line => {
-		logs.push(JSON.parse(line) as LogLine);
-	});
+	let current = startProcess(file, options.nodeFlags, logs);
 	cleaner.after(async () => {
-		child.kill('SIGKILL');
-		await ended;
+		current.child.kill('SIGKILL');
+		await current.ended;
 	});
-	const node = {
-		child,
+	const node: RelayNode = {
+		get child() {
+			return current.child;
+		},
+		get ended() {
+			return current.ended;
+		},
+		async restart() {
+			current.child.kill('SIGKILL');
+			await current.ended;
+			current = startProcess(file, options.nodeFlags, logs);
+		},
 		server,
 		callersPort: callers!,
 		readinessPort: readiness!,
@@ -182,13 +189,30 @@
 		peerPort: peer!,
 		gossipPort: gossip!,
 		logs,
-		ended,
 	};
 	await waitUntilReady(node);
 	server.startHeartbeats(host, announcements!, `${host}:${serverPort}`);
 	return node;
 }
 
+function startProcess(
+	settingsFile: string,
+	nodeFlags: readonly string[] | undefined,
+	logs: LogLine[],
+): {readonly child: ChildProcess; readonly ended: Promise<unknown>} {
+	const child = spawn(
+		process.execPath,
+		[...(nodeFlags ?? []), program, 'run', settingsFile],
+		{
+			stdio: ['ignore', 'pipe', 'inherit'],
+		},
+	);
+	createInterface({input: child.stdout}).on('line', line => {
+		logs.push(JSON.parse(line) as LogLine);
+	});
+	return {child, ended: once(child, 'exit')};
+}
+
 /** Optional parts of a request to a node. */
 export type NodeRequestOptions = {
 	readonly headers?: Readonly<Record<string, string>>;
