Send nothing new to a server that states in its responses that it leaves

A server that leaves says so in all its answers; nothing read that (DRAIN). If its draining heartbeat was late or lost, or a delayed ready one came after it, callers were still sent there, and their requests ended with the server.

Beside it, an announcement with a higher sequence number made a draining server, or one that had deregistered, ready again, though it was sent before and came late.

The gate now drains its server at the first response, of a request or of the health path, that says so; leaving is final for a server process, and only another start is ready again. A restarted node does not adopt a leaving server from its health answer.

Unit tests cover the transitions.

--- a/src/announcement/index.ts
+++ b/src/announcement/index.ts
@@ -1,8 +1,11 @@
 /** Public API of announcements: the state of the local server as it announces it. */
 export {
 	announcementVerdicts,
-	markServerGone,
+	applyAnnouncement,
 	evaluateAnnouncement,
+	isSameProcess,
+	markServerGone,
+	markServerLeaving,
 	serverStates,
 	type AnnouncementVerdict,
 	type ServerAnnouncement,
--- a/src/announcement/server-record.ts
+++ b/src/announcement/server-record.ts
@@ -95,6 +95,54 @@
 		: announcementVerdicts.outdated;
 }
 
+/**
+ * Applies an accepted announcement. A server process that leaves does not become ready again: an
+ * announcement that says so was sent before, and arrives late.
+ *
+ * @param current the record so far
+ * @param announcement the accepted announcement
+ * @param now monotonic time in milliseconds
+ * @returns the new record
+ */
+export function applyAnnouncement(
+	current: ServerRecord | undefined,
+	announcement: ServerAnnouncement,
+	now: number,
+): ServerRecord {
+	const isLeaving =
+		current !== undefined &&
+		isSameProcess(current, announcement) &&
+		current.state !== serverStates.ready;
+	const state = isLeaving ? current.state : announcement.state;
+	return {...announcement, state, heardAt: now};
+}
+
+/**
+ * Tells whether an announcement comes from the server process of the record.
+ *
+ * @param current the record so far
+ * @param announcement an announcement
+ * @returns whether id and start are the same
+ */
+export function isSameProcess(
+	current: ServerRecord,
+	announcement: ServerAnnouncement,
+): boolean {
+	return current.id === announcement.id && current.startedAt === announcement.startedAt;
+}
+
+/**
+ * Marks the server as leaving, by its own statement in a response.
+ *
+ * @param current the record
+ * @returns the record, draining unless the server has already deregistered
+ */
+export function markServerLeaving(current: ServerRecord): ServerRecord {
+	return current.state === serverStates.ready
+		? {...current, state: serverStates.draining}
+		: current;
+}
+
 /**
  * Marks the server as gone. A deregistration carries only an id, so the id has to match the record.
  *
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -5,8 +5,11 @@
  */
 import {
 	announcementVerdicts,
-	markServerGone,
+	applyAnnouncement,
 	evaluateAnnouncement,
+	isSameProcess,
+	markServerGone,
+	markServerLeaving,
 	serverStates,
 	type AnnouncementVerdict,
 	type ServerAnnouncement,
@@ -97,6 +100,10 @@
 		onRequestRate(requestsPerSecond) {
 			changeStartRate(queue.startRate, requestsPerSecond, now());
 		},
+		onLeaving() {
+			record &&= markServerLeaving(record);
+			applyRecord();
+		},
 	});
 	let queue: QueueState = createQueue(0);
 	let failureRate: FailureRate = createFailureRate();
@@ -247,6 +254,7 @@
 		if (
 			record !== undefined ||
 			!isHealthy ||
+			health.isLeaving ||
 			serverId === undefined ||
 			slots === undefined
 		) {
@@ -434,17 +442,17 @@
 			return verdict;
 		}
 
-		const isNewInstance =
-			record?.id !== announcement.id || record.startedAt !== announcement.startedAt;
 		const previous = record;
-		record = {...announcement, heardAt: now()};
+		const isNewInstance =
+			previous === undefined || !isSameProcess(previous, announcement);
+		record = applyAnnouncement(previous, announcement, now());
 		if (isNewInstance) {
 			resetForNewInstance();
 		}
 
 		unreachableUntil = Number.NEGATIVE_INFINITY;
-		if (isNewInstance || previous?.state !== announcement.state) {
-			log.info('server changed', {...announcement});
+		if (isNewInstance || previous.state !== record.state) {
+			log.info('server changed', {...announcement, state: record.state});
 			applyRecord();
 		}
 
--- a/src/relay/server-notices.ts
+++ b/src/relay/server-notices.ts
@@ -29,6 +29,8 @@
 	readonly log: Logger;
 	/** Called when the server names another limit on its request rate; infinite for none. */
 	readonly onRequestRate: (requestsPerSecond: number) => void;
+	/** Called once when the server states that it leaves. */
+	readonly onLeaving: () => void;
 };
 
 /**
@@ -40,8 +42,15 @@
 export function createServerNotices(options: ServerNoticesOptions): ServerNotices {
 	const {log} = options;
 	let requestsPerSecond = Number.POSITIVE_INFINITY;
+	let isLeaving = false;
 	return {
 		record(notice, source, serverId) {
+			if (notice.isLeaving && !isLeaving) {
+				isLeaving = true;
+				log.info('server leaving', {server: serverId, source});
+				options.onLeaving();
+			}
+
 			const stated = notice.requestsPerSecond;
 			if (stated === undefined) {
 				log.warn('server limit unreadable', {server: serverId, source});
@@ -62,6 +71,7 @@
 			options.onRequestRate(stated);
 		},
 		reset() {
+			isLeaving = false;
 			requestsPerSecond = Number.POSITIVE_INFINITY;
 		},
 	};
--- a/test/announcement/server-record.test.ts
+++ b/test/announcement/server-record.test.ts
@@ -2,7 +2,9 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {
+	applyAnnouncement,
 	markServerGone,
+	markServerLeaving,
 	evaluateAnnouncement,
 	serverStates,
 	type ServerAnnouncement,
@@ -79,3 +81,40 @@
 	expect(markServerGone(current, 'server-1')?.state).toEqual(serverStates.gone);
 	expect(markServerGone(current, 'server-0')).toEqual(undefined);
 });
+
+const {ready, draining, gone} = serverStates;
+const transitions: ReadonlyArray<
+	readonly [string, ServerRecord, Partial<ServerAnnouncement>, string]
+> = [
+	['a ready server can start to drain', current, {state: draining}, draining],
+	[
+		'a delayed announcement does not make a draining server ready',
+		{...current, state: draining},
+		{state: ready},
+		draining,
+	],
+	[
+		'a delayed announcement does not bring back a server that has deregistered',
+		{...current, state: gone},
+		{state: ready},
+		gone,
+	],
+	[
+		'a server that starts again after it left is ready',
+		{...current, state: gone},
+		{state: ready, startedAt: 2000},
+		ready,
+	],
+];
+for (const [name, record, patch, state] of transitions) {
+	test(name, () => {
+		const next = applyAnnouncement(record, {...announcement, sequence: 9, ...patch}, 5);
+		expect<string>(next.state).toEqual(state);
+		expect(next.heardAt).toEqual(5);
+	});
+}
+
+test('a server that states that it leaves drains, unless it is gone already', () => {
+	expect(markServerLeaving(current).state).toEqual(draining);
+	expect(markServerLeaving({...current, state: gone}).state).toEqual(gone);
+});
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -86,6 +86,16 @@
 	);
 });
 
+test('a server leaves only if its header says so with the value 1', () => {
+	const read = (...headers: string[]) =>
+		platformProtocol.readServerHealth(200, headers).isLeaving;
+	expect([read('server-leaving', '1'), read('Server-Leaving', '0'), read()]).toEqual([
+		true,
+		false,
+		false,
+	]);
+});
+
 const statuses: ReadonlyArray<
 	readonly [keyof typeof refusalKinds, keyof typeof outcomes, number]
 > = [
