Log the store's era and count it as a metric

A position in the store's history now carries its era; a change of the era is logged (table restored), as are position and era when the store is regained or its history is gone. No decision uses the era yet.

--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -49,6 +49,8 @@
 	readonly isReady: () => boolean;
 	/** Whether this node polls the table for its failure domain. */
 	readonly isPoller: () => boolean;
+	/** Records the era in which the table answers. */
+	readonly recordTableEra: (era: number) => void;
 	/** Reports not ready, and refuses calls that may last beyond this monotonic time. */
 	readonly startDraining: (endsAt: number) => void;
 	readonly dump: () => Record<string, unknown>;
@@ -79,12 +81,14 @@
 	let membership: Membership | undefined;
 	let socket: GateSocket | undefined;
 	let leaving = false;
+	let tableEra = 0;
 	/** Whether this node is one of the pollers; undefined after a change of the members. */
 	let isChosenPoller: boolean | undefined;
 	const membersOf = (service: string) => membership?.membersOf(service) ?? [];
 	const metrics = createRelayMetrics({
 		gate: () => gate.state(),
 		routesVersion: () => routesHolder.current()?.table.version ?? 0,
+		tableEra: () => tableEra,
 		members: () => membership?.all().length ?? 0,
 		droppedLines: log.countDropped,
 		dump: () => dump(),
@@ -165,6 +169,7 @@
 		gate: gate.state(),
 		routesVersion: routesHolder.current()?.table.version,
 		routesSince: routesHolder.current()?.activeSince,
+		tableEra,
 		callersInFlight: callers.countInFlight(),
 		members: membership?.all(),
 		membership: membership?.dump(),
@@ -241,6 +246,9 @@
 			);
 			return isChosenPoller || isIsolated(membership.lastPacketAt(), now());
 		},
+		recordTableEra(era) {
+			tableEra = era;
+		},
 		startDraining(endsAt) {
 			leaving = true;
 			callers.drain(endsAt);
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -13,6 +13,7 @@
 	type RouteSource,
 	type RouteSourceError,
 	type RoutesReading,
+	type TablePosition,
 } from './routes-follower.js';
 export type {RoutesError} from './active-routes.js';
 export {
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -16,6 +16,7 @@
 export type MetricsSources = {
 	readonly gate: () => RelayGateState;
 	readonly routesVersion: () => number;
+	readonly tableEra: () => number;
 	readonly members: () => number;
 	readonly droppedLines: () => number;
 	/** The whole state of the process, for a dump. */
@@ -86,6 +87,7 @@
 			() => sources.gate().requestsPerSecond,
 		],
 		['foxtailtide_routes_version', 'Version in force.', sources.routesVersion],
+		['foxtailtide_table_era', 'Era of the table.', sources.tableEra],
 		['foxtailtide_members', 'Nodes that are held alive.', sources.members],
 		['foxtailtide_log_lines_dropped', 'Log lines dropped.', sources.droppedLines],
 	];
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -58,6 +58,7 @@
 			log,
 			isPoller: components.isPoller,
 			random: Math.random,
+			onEra: components.recordTableEra,
 		});
 		const membership = yield* joinMembership(settings, adapter, incarnation);
 		components.attachMembership(membership);
--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -8,12 +8,20 @@
 import type {Logger} from '../log/index.js';
 import type {RoutesHolder} from './active-routes.js';
 
+/** A position in the history of the table. */
+export type TablePosition = {
+	/** Rises each time the table comes back from an older copy, whose versions count on from there. */
+	readonly era: number;
+	/** Rises with each change within an era. */
+	readonly version: number;
+};
+
 /** Result of reading the routes from the table. */
 export type RoutesReading = {
 	/** The newest document; undefined if it has not changed or there is none. */
 	readonly text: string | undefined;
-	/** Position in the table's history at which this was read. */
-	readonly position: number;
+	/** Where in the table's history this was read. */
+	readonly position: TablePosition;
 };
 
 export const routeSourceErrors = {
@@ -33,7 +41,7 @@
 	readonly read: () => Promise<Result<RoutesReading, RouteSourceError>>;
 	/** Waits for a change after a position, for a limited time. */
 	readonly awaitChange: (
-		position: number,
+		position: TablePosition,
 		timeoutMilliseconds: number,
 	) => Promise<Result<RoutesReading, RouteSourceError>>;
 };
@@ -46,6 +54,8 @@
 	readonly isPoller: () => boolean;
 	/** A number from 0 to below 1. */
 	readonly random: () => number;
+	/** Called when the table answers in another era than before, and at its first answer. */
+	readonly onEra: (era: number) => void;
 };
 
 export type RoutesFollower = {readonly close: () => void};
@@ -69,13 +79,31 @@
 	const state = {isClosed: false};
 	let isUnavailable = false;
 	let failures = 0;
+	let knownEra: number | undefined;
 
-	function recordSuccess(): void {
+	function recordSuccess({position}: RoutesReading): void {
 		failures = 0;
+		recordEra(position);
 		if (isUnavailable) {
 			isUnavailable = false;
-			log.info('table regained', {routesVersion: holder.current()?.table.version});
+			log.info('table regained', {
+				...position,
+				routesVersion: holder.current()?.table.version,
+			});
+		}
+	}
+
+	function recordEra({era, version}: TablePosition): void {
+		if (era === knownEra) {
+			return;
 		}
+
+		if (knownEra !== undefined) {
+			log.warn('table restored', {era, before: knownEra, version});
+		}
+
+		knownEra = era;
+		options.onEra(era);
 	}
 
 	async function recordFailure(error: RouteSourceError): Promise<void> {
@@ -93,11 +121,11 @@
 		await sleep(pause);
 	}
 
-	async function readPosition(): Promise<number | undefined> {
+	async function readPosition(): Promise<TablePosition | undefined> {
 		while (!state.isClosed) {
 			const reading = await source.read();
 			if (reading.isOk()) {
-				recordSuccess();
+				recordSuccess(reading.value);
 				activate(reading.value.text);
 				return reading.value.position;
 			}
@@ -118,14 +146,14 @@
 
 			const change = await source.awaitChange(position, longPollMilliseconds);
 			if (change.isOk()) {
-				recordSuccess();
+				recordSuccess(change.value);
 				activate(change.value.text);
 				position = change.value.position;
 				continue;
 			}
 
 			if (change.error.kind === routeSourceErrors.historyGone) {
-				log.info('table history gone', {position});
+				log.info('table history gone', {...position});
 				position = await readPosition();
 				continue;
 			}
--- a/stand-ins/platform/store.ts
+++ b/stand-ins/platform/store.ts
@@ -1,7 +1,7 @@
 /**
  * A stand-in for the platform's store: rows with a single version counter, conditional
  * transactions, and a long-polled feed of changes. While unavailable, it answers every request
- * with status 503 and changes nothing.
+ * with status 503 and changes nothing. It can come back from an older copy, in a new era.
  */
 import {Buffer} from 'node:buffer';
 import {
@@ -18,12 +18,23 @@
 	readonly puts?: ReadonlyArray<RowKey & {readonly value: string}>;
 };
 
+/** Rows and version counter at one moment. */
+export type StoreCopy = {
+	readonly rows: ReadonlyMap<string, Row>;
+	readonly version: number;
+};
+
 export type StandInStore = {
 	/** The HTTP server; the caller makes it listen. */
 	readonly server: Server;
 	/** Writes a configuration document, as an operator would. */
 	readonly putConfiguration: (document: unknown) => void;
 	readonly setUnavailable: (isUnavailable: boolean) => void;
+	readonly takeCopy: () => StoreCopy;
+	/** Returns to a copy: what was written since is gone, and its versions are given out again. */
+	readonly restore: (copy: StoreCopy) => void;
+	/** Version of the newest change. */
+	readonly version: () => number;
 	/** Delays each response; 0 for no delay. */
 	readonly setDelay: (milliseconds: number) => void;
 	/** Applies each request, then closes its connection instead of responding. */
@@ -34,7 +45,13 @@
 export function createStandInStore(): StandInStore {
 	const rows = new Map<string, Row>();
 	const feedListeners = new Set<() => void>();
-	const state = {version: 0, isUnavailable: false, delay: 0, isLosingResponses: false};
+	const state = {
+		version: 0,
+		era: 1,
+		isUnavailable: false,
+		delay: 0,
+		isLosingResponses: false,
+	};
 
 	function putRow(entry: RowKey & {readonly value: string}): void {
 		state.version += 1;
@@ -55,6 +72,11 @@
 
 	function handleFeed(query: URLSearchParams, response: ServerResponse): void {
 		const after = Number(query.get('after'));
+		if (after > state.version) {
+			respond(response, 410, {});
+			return;
+		}
+
 		const findChanged = () =>
 			[...rows.values()].filter(
 				({table, ver}) => table === query.get('table') && ver > after,
@@ -104,7 +126,10 @@
 				return;
 			}
 
-			response.writeHead(status, {'content-type': 'application/json'});
+			response.writeHead(status, {
+				'content-type': 'application/json',
+				'store-era': String(state.era),
+			});
 			response.end(JSON.stringify(body));
 		}, state.delay);
 	}
@@ -143,6 +168,18 @@
 		setUnavailable(isUnavailable) {
 			state.isUnavailable = isUnavailable;
 		},
+		takeCopy: () => ({rows: new Map(rows), version: state.version}),
+		restore(copy) {
+			rows.clear();
+			for (const [key, row] of copy.rows) {
+				rows.set(key, row);
+			}
+
+			state.version = copy.version;
+			state.era += 1;
+			server.closeAllConnections();
+		},
+		version: () => state.version,
 		setDelay(milliseconds) {
 			state.delay = milliseconds;
 		},
--- a/test/relay/routes.test.ts
+++ b/test/relay/routes.test.ts
@@ -43,17 +43,21 @@
 	let polls = 0;
 	const follower = followRoutes({
 		source: {
-			read: async () => ok<RoutesReading>({text: '1', position: 4}),
-			async awaitChange(position) {
+			read: async () => ok<RoutesReading>({text: '1', position: {era: 0, version: 4}}),
+			async awaitChange({era, version}) {
 				polls += 1;
 				await sleep(5);
-				return ok<RoutesReading>({text: String(position), position: position + 1});
+				return ok<RoutesReading>({
+					text: String(version),
+					position: {era, version: version + 1},
+				});
 			},
 		},
 		holder,
 		log: silentLog,
 		isPoller: () => role.isPoller,
 		random: () => 0.5,
+		onEra: ignore,
 	});
 	await sleep(400);
 	expect(holder.current()?.table.version).toEqual(1);
