--- a/test/support/relay-mesh.ts
+++ b/test/support/relay-mesh.ts
@@ -13,7 +13,11 @@
 	createStandInPlatformServer,
 	type StandInPlatformServer,
 } from '../../stand-ins/platform/server.js';
-import {createStandInStore, type StandInStore} from '../../stand-ins/platform/store.js';
+import {
+	createStandInStore,
+	type StandInStore,
+	type StoreCopy,
+} from '../../stand-ins/platform/store.js';
 import {findFreePorts, writeSettings, type Cleaner} from './processes.js';
 
 const program = path.resolve(import.meta.dirname, '../../dist/relay.cjs');
@@ -45,7 +49,11 @@
 
 export type RelayMesh = {
 	readonly store: StandInStore;
+	/** The store before any node had started. */
+	readonly initialCopy: StoreCopy;
 	readonly nodes: readonly RelayNode[];
+	/** Starts one more node, with its server. */
+	readonly addNode: () => Promise<RelayNode>;
 };
 
 export type NodeResponse = {
@@ -110,17 +118,28 @@
 ): Promise<RelayMesh> {
 	const store = createStandInStore();
 	store.putConfiguration(createConfiguration(1));
+	const initialCopy = store.takeCopy();
 	const storePort = await listenOnFreePort(cleaner, store.server);
 	const nodes: RelayNode[] = [];
+	const addNode = async (): Promise<RelayNode> => {
+		const index = nodes.length;
+		const node = await startNode(cleaner, {
+			index,
+			storePort,
+			workMilliseconds,
+			...options,
+		});
+		nodes.push(node);
+		return node;
+	};
+
 	for (let index = 0; index < count; index += 1) {
-		nodes.push(
-			await startNode(cleaner, {index, storePort, workMilliseconds, ...options}),
-		);
+		await addNode();
 	}
 
 	await Promise.all(nodes.map(async node => waitUntilReady(node)));
 	await Promise.all(nodes.map(async node => waitUntilAllKnown(node, count)));
-	return {store, nodes};
+	return {store, initialCopy, nodes, addNode};
 }
 
 type NodeOptions = RelayMeshOptions & {
@@ -290,7 +309,7 @@
 	}
 }
 
-async function waitUntilAllKnown(
+export async function waitUntilAllKnown(
 	{metricsPort}: Pick<RelayNode, 'metricsPort'>,
 	count: number,
 ): Promise<void> {
