Read the routes again when the store answers in another era

After the store was restored from an older copy, confirmed changes could stay out of force at all nodes: their calls went by routes that had been changed, or got 404 for routes that had been added (CONFIG).

Cause: a poller took a position, a number of the store's counter, to name one moment for ever. A restore sets the counter back and gives the same numbers out again. Once it had passed the old position, the store found nothing wrong with it, and changes up to that number were never delivered; the poll then waited up to 15 s.

A position is now valid only in its era and only while the store answers without a gap: a poller reads the row when it begins to poll, after each failed poll, and when an answer comes from another era.

Ruled out: older routes replacing newer ones (the version of the routes is compared, not the store's; the test of it passes).

Tests of follower and adapter cover both ways in.

--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -27,7 +27,7 @@
 export const routeSourceErrors = {
 	/** The table did not answer, or refused for now. */
 	unavailable: 'unavailable',
-	/** The table no longer has the history after the given position. */
+	/** The table no longer has the history after the given position, or has another one. */
 	historyGone: 'history-gone',
 } as const;
 
@@ -39,7 +39,10 @@
 /** The store that holds the routes. */
 export type RouteSource = {
 	readonly read: () => Promise<Result<RoutesReading, RouteSourceError>>;
-	/** Waits for a change after a position, for a limited time. */
+	/**
+	 * Waits for a change after a position, for a limited time. The history is gone when the table
+	 * answers in another era than that of the position.
+	 */
 	readonly awaitChange: (
 		position: TablePosition,
 		timeoutMilliseconds: number,
@@ -137,13 +140,19 @@
 	}
 
 	async function follow(): Promise<void> {
-		let position = await readPosition();
-		while (!state.isClosed && position !== undefined) {
-			if (!options.isPoller()) {
-				await sleep(pollerCheckMilliseconds);
-				continue;
-			}
+		await readPosition();
+		while (!state.isClosed) {
+			await (options.isPoller() ? poll() : sleep(pollerCheckMilliseconds));
+		}
+	}
 
+	/**
+	 * Polls from the present on. A position is used only while the table answers without a gap: after
+	 * one, the table may have given out its versions again.
+	 */
+	async function poll(): Promise<void> {
+		let position = await readPosition();
+		while (position !== undefined && !state.isClosed && options.isPoller()) {
 			const change = await source.awaitChange(position, longPollMilliseconds);
 			if (change.isOk()) {
 				recordSuccess(change.value);
@@ -154,11 +163,11 @@
 
 			if (change.error.kind === routeSourceErrors.historyGone) {
 				log.info('table history gone', {...position});
-				position = await readPosition();
-				continue;
+			} else {
+				await recordFailure(change.error);
 			}
 
-			await recordFailure(change.error);
+			return;
 		}
 	}
 
--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,48 @@
+/** The client of the platform's store against the stand-in, over a restore. */
+import type {AddressInfo} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import {createStoreClient} from '../../platform/store.js';
+import {routeSourceErrors} from '../../src/relay/index.js';
+import {createStandInStore} from '../../stand-ins/platform/store.js';
+
+const waitMilliseconds = 50;
+
+async function startStore(context: TestContext) {
+	const store = createStandInStore();
+	await new Promise<void>(resolve => {
+		store.server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = store.server.address() as AddressInfo;
+	const client = createStoreClient(`127.0.0.1:${port}`);
+	context.after(() => {
+		client.table.close();
+		store.server.close();
+		store.server.closeAllConnections();
+	});
+	return {store, ...client};
+}
+
+test('a position of an earlier era has no history, also when its version is in use again', async context => {
+	const {store, routeSource} = await startStore(context);
+	store.putConfiguration({version: 'r1'});
+	const copy = store.takeCopy();
+	store.putConfiguration({version: 'r2'});
+	const reading = await routeSource.read();
+	const {position} = reading._unsafeUnwrap();
+	store.restore(copy);
+	// The restore closes the connections; the client notices that first.
+	await sleep(waitMilliseconds);
+	const before = await routeSource.awaitChange(position, waitMilliseconds);
+	expect(before._unsafeUnwrapErr().kind).toEqual(routeSourceErrors.historyGone);
+	store.putConfiguration({version: 'r3'});
+	expect(store.version()).toEqual(position.version);
+	const after = await routeSource.awaitChange(position, waitMilliseconds);
+	expect(after._unsafeUnwrapErr().kind).toEqual(routeSourceErrors.historyGone);
+	const again = await routeSource.read();
+	expect(again._unsafeUnwrap()).toEqual({
+		text: JSON.stringify({version: 'r3'}),
+		position: {era: position.era + 1, version: position.version},
+	});
+});
--- a/test/relay/routes.test.ts
+++ b/test/relay/routes.test.ts
@@ -2,9 +2,14 @@
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {ok} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import type {Member, Membership} from '../../src/membership/index.js';
-import {followRoutes, type RoutesReading} from '../../src/relay/routes-follower.js';
+import {
+	followRoutes,
+	routeSourceErrors,
+	type RoutesReading,
+	type TablePosition,
+} from '../../src/relay/routes-follower.js';
 import {routesTopic, followPeerRoutes} from '../../src/relay/peer-routes.js';
 import {createRoutesHolder, type RoutesHolder} from '../../src/relay/active-routes.js';
 
@@ -68,6 +73,50 @@
 	expect(polls).toBeGreaterThan(0);
 });
 
+test('a poller reads the routes again after the table failed or lost its history', async () => {
+	const holder = createHolder();
+	const readings: RoutesReading[] = [
+		{text: '1', position: {era: 1, version: 8}},
+		{text: '1', position: {era: 1, version: 8}},
+		{text: '4', position: {era: 2, version: 8}},
+		{text: '6', position: {era: 3, version: 9}},
+	];
+	const errors = [routeSourceErrors.unavailable, routeSourceErrors.historyGone];
+	const polled: TablePosition[] = [];
+	const eras: number[] = [];
+	const follower = followRoutes({
+		source: {
+			read: async () => ok(readings.length > 1 ? readings.shift()! : readings[0]!),
+			async awaitChange(position) {
+				polled.push(position);
+				const kind = errors.shift();
+				if (kind !== undefined) {
+					return err({kind, message: 'restored'});
+				}
+
+				await sleep(60_000, undefined, {ref: false});
+				return ok(readings[0]!);
+			},
+		},
+		holder,
+		log: silentLog,
+		isPoller: () => true,
+		random: () => 0,
+		onEra(era) {
+			eras.push(era);
+		},
+	});
+	await waitUntil(() => polled.length === 3);
+	follower.close();
+	expect(polled).toEqual([
+		{era: 1, version: 8},
+		{era: 2, version: 8},
+		{era: 3, version: 9},
+	]);
+	expect(eras).toEqual([1, 2, 3]);
+	expect(holder.current()?.table.version).toEqual(6);
+});
+
 type PeersView = Pick<Membership, 'onVersion' | 'versionOf' | 'all' | 'self'>;
 
 function createMember(nodeId: string, failureDomain: string): Member {
