Write the nodes' rows again after the store was restored without them

A node that started after a restore with a new address was alone: it knew no other node and none knew it, so its callers got 503 and its server no requests, for up to a minute.

Cause, of the same class as the positions of an earlier era: a node took what the store had acknowledged to be there for good. The addresses through which nodes join are rows in the store; their owners check them every 30 to 60 s, and a restore takes away what was written since the copy.

Few nodes ask the store, so those that see a new era tell it by gossip (topic table-era; nothing is sent before the first restore), and each owner of a row checks it within a second of the news.

Before: process/restored-store, 7 s after a restore to a copy without these rows: members known to three nodes 2, 2 and 1. After: 3, 3 and 3, and the joined server gets requests from the others.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -41,6 +41,8 @@
 	readonly onAnnouncement: (listener: AnnouncementListener) => void;
 	/** Announces that this node is leaving; resolves once enough peers acknowledged it or on timeout. */
 	readonly leave: () => Promise<void>;
+	/** Checks this node's seed row soon, since the table may have lost it. */
+	readonly checkSeedRow: () => void;
 	/** Monotonic time at which a packet of another member last arrived, in milliseconds. */
 	readonly lastPacketAt: () => number;
 	/** Describes the whole state for the state dump. */
--- a/src/membership/seed-task.ts
+++ b/src/membership/seed-task.ts
@@ -1,9 +1,10 @@
 /** Task that reads the seeds from the platform's table and maintains this node's seed row. */
-import {Duration, Effect} from 'effect';
+import {Duration, Effect, Queue} from 'effect';
 import {type MembershipOptions} from './membership.js';
 import {type Address} from './message.js';
 import {
 	chooseSeedReadDelay,
+	chooseSeedRowCheckDelay,
 	chooseSeedRowDelay,
 	chooseSeedRow,
 	parseSeedAddress,
@@ -20,6 +21,8 @@
 	readonly state: Readonly<MembershipState>;
 	/** Receives the seeds that were read. */
 	readonly offer: (event: MembershipEvent) => void;
+	/** Requests to check the seed row soon. */
+	readonly seedRowChecks: Queue.Dequeue<void>;
 	/** Whether the table held addresses of other nodes when it was last read. */
 	hasRows: boolean;
 };
@@ -79,7 +82,8 @@
 	return Effect.gen(function* () {
 		while (true) {
 			const hasPeers = task.state.roster.peers.length > 0;
-			yield* Effect.sleep(chooseSeedRowDelay(hasPeers, task.hasRows, random));
+			const delay = Effect.sleep(chooseSeedRowDelay(hasPeers, task.hasRows, random));
+			yield* Effect.race(delay, awaitCheckRequest(task));
 			const row = chooseSeedRow(task.state.self.member, listMembers(task.state));
 			if (row !== undefined) {
 				yield* queryTable(async () => writeSeed(row));
@@ -88,6 +92,15 @@
 	});
 }
 
+/** Many nodes get such a request at the same time, so their checks are spread. */
+function awaitCheckRequest({seedRowChecks, options}: SeedTask): Effect.Effect<void> {
+	return Queue.take(seedRowChecks).pipe(
+		Effect.zipRight(
+			Effect.suspend(() => Effect.sleep(chooseSeedRowCheckDelay(options.random))),
+		),
+	);
+}
+
 /** Returns undefined when the table fails or times out: seeds are hints and are requested again. */
 function queryTable<Answer>(
 	request: () => Promise<Answer>,
--- a/src/membership/seeds.ts
+++ b/src/membership/seeds.ts
@@ -14,6 +14,8 @@
 const emptyTableDelayMilliseconds = 1000;
 /** Spreads the writes of a fleet whose nodes start together and know no peers yet. */
 const isolatedDelayMilliseconds = 120_000;
+/** Spreads the checks of all owners of seed rows after the table was restored. */
+const rowCheckSpreadMilliseconds = 1000;
 const minimumReadDelayMilliseconds = 1000;
 const maximumReadDelayMilliseconds = 60_000;
 const maximumPort = 65_535;
@@ -106,6 +108,16 @@
 	return (hasRows ? isolatedDelayMilliseconds : emptyTableDelayMilliseconds) * random();
 }
 
+/**
+ * Computes the delay before a node checks its seed row because the table may have lost it.
+ *
+ * @param random source of random numbers in [0, 1)
+ * @returns milliseconds
+ */
+export function chooseSeedRowCheckDelay(random: () => number): number {
+	return rowCheckSpreadMilliseconds * random();
+}
+
 /**
  * Computes the delay before a node reads the seeds from the table again. It backs off
  * exponentially, so that a fleet that starts at once does not overload the table.
--- a/src/membership/task.ts
+++ b/src/membership/task.ts
@@ -2,7 +2,7 @@
  * Background task of membership: owns the UDP socket, the timers and the state. All input reaches
  * the state as events through one loop; callers get a read-only API.
  */
-import {Effect, type Scope} from 'effect';
+import {Effect, Queue, type Scope} from 'effect';
 import {decodePacket} from './codec.js';
 import {createDump} from './dump.js';
 import {nextTickAt} from './due.js';
@@ -34,6 +34,8 @@
 	readonly listeners: Listeners;
 	readonly settled: Completion;
 	readonly leaveCompleted: Completion;
+	/** Requests to check the seed row soon; one is enough. */
+	readonly seedRowChecks: Queue.Queue<void>;
 };
 
 /** A promise that is resolved from outside, once. */
@@ -53,7 +55,8 @@
 ): Effect.Effect<Membership, MembershipError, Scope.Scope> {
 	return Effect.gen(function* () {
 		const seeds = yield* readSettingsSeeds(options.seeds);
-		const task = createTask(options, seeds);
+		const seedRowChecks = yield* Queue.sliding<void>(1);
+		const task = createTask(options, seeds, seedRowChecks);
 		const running: {loop: EventLoop | undefined} = {loop: undefined};
 		const transport = yield* openTransport(task, event => running.loop?.offer(event));
 		const loop = startLoop(task, transport);
@@ -88,7 +91,11 @@
 	return Effect.succeed(addresses);
 }
 
-function createTask(options: MembershipOptions, seeds: readonly Address[]): Task {
+function createTask(
+	options: MembershipOptions,
+	seeds: readonly Address[],
+	seedRowChecks: Queue.Queue<void>,
+): Task {
 	const now = options.now();
 	const parameters = {...defaultParameters, ...options.parameters};
 	const self: Member = {...options.self, status: memberStatuses.alive, revision: 0};
@@ -108,6 +115,7 @@
 		listeners: createListeners(),
 		settled: createCompletion(),
 		leaveCompleted: createCompletion(),
+		seedRowChecks,
 	};
 }
 
@@ -219,7 +227,7 @@
 }
 
 function createApi(task: Task, offer: (event: MembershipEvent) => void): Membership {
-	const {state, listeners, leaveCompleted} = task;
+	const {state, listeners, leaveCompleted, seedRowChecks} = task;
 	return {
 		self: () => state.self.member,
 		updateSelf(patch) {
@@ -248,6 +256,9 @@
 			offer({kind: 'leave'});
 			await leaveCompleted.promise;
 		},
+		checkSeedRow() {
+			seedRowChecks.unsafeOffer(undefined);
+		},
 		lastPacketAt: () => state.lastPacketAt,
 		dump: () => createDump(state),
 	};
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -27,6 +27,7 @@
 import {routesTopic} from './peer-routes.js';
 import {createRoutesHolder, type RoutesHolder} from './active-routes.js';
 import {splitAddress, type RelaySettings} from './settings.js';
+import {createTableEra} from './table-era.js';
 
 /** Upper bound of the time to encode or decode one datagram. */
 const datagramMicroseconds = 20;
@@ -81,14 +82,14 @@
 	let membership: Membership | undefined;
 	let socket: GateSocket | undefined;
 	let leaving = false;
-	let tableEra = 0;
+	const tableEra = createTableEra();
 	/** Whether this node is one of the pollers; undefined after a change of the members. */
 	let isChosenPoller: boolean | undefined;
 	const membersOf = (service: string) => membership?.membersOf(service) ?? [];
 	const metrics = createRelayMetrics({
 		gate: () => gate.state(),
 		routesVersion: () => routesHolder.current()?.table.version ?? 0,
-		tableEra: () => tableEra,
+		tableEra: tableEra.current,
 		members: () => membership?.all().length ?? 0,
 		droppedLines: log.countDropped,
 		dump: () => dump(),
@@ -169,7 +170,7 @@
 		gate: gate.state(),
 		routesVersion: routesHolder.current()?.table.version,
 		routesSince: routesHolder.current()?.activeSince,
-		tableEra,
+		tableEra: tableEra.current(),
 		callersInFlight: callers.countInFlight(),
 		members: membership?.all(),
 		membership: membership?.dump(),
@@ -194,6 +195,7 @@
 		attachMembership(joined) {
 			membership = joined;
 			isChosenPoller = undefined;
+			tableEra.attach(joined);
 			const routes = routesHolder.current();
 			if (routes) {
 				joined.publishVersion(routesTopic, routes.table.version);
@@ -246,9 +248,7 @@
 			);
 			return isChosenPoller || isIsolated(membership.lastPacketAt(), now());
 		},
-		recordTableEra(era) {
-			tableEra = era;
-		},
+		recordTableEra: tableEra.record,
 		startDraining(endsAt) {
 			leaving = true;
 			callers.drain(endsAt);
