Move what the node knows of its server out of the gate

The record, its announcements, the health answers and the notices now live in local-server.ts, which decides whether the server is available; the gate keeps the queue and the attempts. A notice counts only if the response came from the server that the request was sent to. No other change of behaviour.

--- a/src/relay/gate-entry.ts
+++ b/src/relay/gate-entry.ts
@@ -9,6 +9,8 @@
 	readonly attempt: RelayAttempt;
 	readonly request: GateRequest;
 	readonly settle: (result: AttemptResult) => void;
+	/** Id of the server that it was sent to; undefined until then. */
+	serverId: string | undefined;
 	exchange: RunningServerExchange | undefined;
 	cancelled: boolean;
 	startedAt: number;
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -3,18 +3,7 @@
  * it, so it knows exactly how many run, keeps the queue in order and sends nothing new to a server
  * that is leaving. A request that it refuses before dispatch is reported as not run.
  */
-import {
-	announcementVerdicts,
-	applyAnnouncement,
-	evaluateAnnouncement,
-	isSameProcess,
-	markServerGone,
-	markServerLeaving,
-	serverStates,
-	type AnnouncementVerdict,
-	type ServerAnnouncement,
-	type ServerRecord,
-} from '../announcement/index.js';
+import type {ServerRecord} from '../announcement/index.js';
 import {
 	admissionResults,
 	admitAttempt,
@@ -59,15 +48,15 @@
 	type QueueState,
 	type SlotAssignment,
 } from '../waiting/index.js';
-import type {ServerHealth} from './platform-protocol.js';
 import {describeEntry, createGateRequest, type GateEntry} from './gate-entry.js';
 import type {RelayGate, RelayGateOptions} from './gate-types.js';
-import {createServerNotices, noticeSources} from './server-notices.js';
+import {createLocalServer} from './local-server.js';
 import {createSpeedProbe} from './speed-probe.js';
 import {
 	createServerClient,
 	serverResultKinds,
 	type ServerResult,
+	type ServerTarget,
 } from './server-exchange.js';
 
 /** Rechecks waiting requests this often: they may be too late, or the server's speed changed. */
@@ -91,32 +80,26 @@
 	const attempts = createAttemptTable();
 	const retryBudget = createRetryBudget();
 	const entries = new Map<string, GateEntry>();
-	const expectedServer = {
-		address: `${server.host}:${server.port}`,
-		service: server.service,
-	};
-	const notices = createServerNotices({
+	let queue: QueueState = createQueue(0);
+	let failureRate: FailureRate = createFailureRate();
+	let leaving = false;
+	const localServer = createLocalServer({
 		log,
+		now,
+		expected: {address: `${server.host}:${server.port}`, service: server.service},
+		onNewProcess: resetForNewProcess,
+		onStateChange: applyServerState,
 		onRequestRate(requestsPerSecond) {
 			changeStartRate(queue.startRate, requestsPerSecond, now());
 		},
-		onLeaving() {
-			record &&= markServerLeaving(record);
-			applyRecord();
-		},
 	});
-	let queue: QueueState = createQueue(0);
-	let failureRate: FailureRate = createFailureRate();
-	let record: ServerRecord | undefined;
-	let leaving = false;
 	const speedProbe = createSpeedProbe({
-		probe: async path =>
-			client.probe({id: record?.id, host: server.host, port: server.port}, path),
+		probe: async path => client.probe(describeTarget(), path),
 		healthPath: options.healthPath,
 		probesPerSecond: options.probesPerSecond,
 		now,
 		serverSpeed: () => queue.speed,
-		onHealth: handleHealth,
+		onHealth: localServer.handleHealth,
 		onTimeout() {
 			markUnreachable(
 				'the health path does not respond',
@@ -125,11 +108,14 @@
 		},
 	});
 	let isReportAwaited = false;
-	let unreachableUntil = Number.NEGATIVE_INFINITY;
 	let queueTimer: NodeJS.Timeout | undefined;
 
 	function isAccepting(): boolean {
-		return record?.state === serverStates.ready && !leaving && now() >= unreachableUntil;
+		return localServer.isAvailable() && !leaving;
+	}
+
+	function describeTarget(): ServerTarget {
+		return {id: localServer.record()?.id, host: server.host, port: server.port};
 	}
 
 	function refuse(
@@ -168,6 +154,7 @@
 		entries.set(entry.key, entry);
 		const {call, isRetry} = entry.attempt;
 		if (!isAccepting() || call.service !== server.service) {
+			const record = localServer.record();
 			const kind = leaving ? refusalKinds.leaving : refusalKinds.noServer;
 			refuse(
 				entry,
@@ -241,43 +228,8 @@
 		});
 	}
 
-	function handleHealth(health: ServerHealth): void {
-		adoptFromHealth(health);
-		if (health.serverId !== undefined && health.serverId === record?.id) {
-			notices.record(health, noticeSources.health, record.id);
-		}
-	}
-
-	/** After the node's start, registers the server by its health until it announces itself. */
-	function adoptFromHealth(health: ServerHealth): void {
-		const {serverId, slots, isHealthy} = health;
-		if (
-			record !== undefined ||
-			!isHealthy ||
-			health.isLeaving ||
-			serverId === undefined ||
-			slots === undefined
-		) {
-			return;
-		}
-
-		handleAnnouncement({
-			...expectedServer,
-			id: serverId,
-			slots,
-			state: serverStates.ready,
-			sequence: Number.NEGATIVE_INFINITY,
-			warmupMilliseconds: 0,
-			startedAt: undefined,
-		});
-	}
-
 	function markUnreachable(reason: string, milliseconds: number): void {
-		if (now() >= unreachableUntil) {
-			log.warn('server unreachable', {server: record?.id, reason});
-		}
-
-		unreachableUntil = now() + milliseconds;
+		localServer.markUnreachable(reason, milliseconds);
 		client.discardConnections();
 		refuseWaiting(reason);
 	}
@@ -316,10 +268,9 @@
 		});
 		dispatchAttempt(attempts, entry.attempt.id);
 		entry.startedAt = now();
-		entry.exchange = client.start(
-			{id: record?.id, host: server.host, port: server.port},
-			entry.attempt.call,
-		);
+		const target = describeTarget();
+		entry.serverId = target.id;
+		entry.exchange = client.start(target, entry.attempt.call);
 		const timer = setTimeout(
 			() => {
 				cancel(entry);
@@ -348,7 +299,7 @@
 			...describeEntry(entry),
 			end: entry.cancelled ? 'cancelled' : result.kind,
 			reason: result.reason,
-			server: record?.id,
+			server: entry.serverId,
 			milliseconds: Math.round(duration),
 		});
 		options.onAttemptEnd(entry.cancelled ? 'cancelled' : result.kind, duration);
@@ -365,7 +316,7 @@
 		}
 
 		if (result.notice) {
-			notices.record(result.notice, noticeSources.response, record?.id);
+			localServer.handleNotice(result.notice, entry.serverId);
 		}
 
 		if (entry.cancelled) {
@@ -435,34 +386,9 @@
 		}
 	}
 
-	function handleAnnouncement(announcement: ServerAnnouncement): AnnouncementVerdict {
-		const verdict = evaluateAnnouncement(record, announcement, expectedServer);
-		if (verdict !== announcementVerdicts.accepted) {
-			log.warn('announcement ignored', {verdict, ...announcement, held: record?.id});
-			return verdict;
-		}
-
-		const previous = record;
-		const isNewInstance =
-			previous === undefined || !isSameProcess(previous, announcement);
-		record = applyAnnouncement(previous, announcement, now());
-		if (isNewInstance) {
-			resetForNewInstance();
-		}
-
-		unreachableUntil = Number.NEGATIVE_INFINITY;
-		if (isNewInstance || previous.state !== record.state) {
-			log.info('server changed', {...announcement, state: record.state});
-			applyRecord();
-		}
-
-		return verdict;
-	}
-
-	function resetForNewInstance(): void {
+	function resetForNewProcess({warmupMilliseconds}: ServerRecord): void {
 		client.discardConnections();
 		failureRate = createFailureRate();
-		notices.reset();
 		const previous = queue;
 		queue = createQueue(previous.slots);
 		for (const [key, running] of previous.running) {
@@ -473,11 +399,11 @@
 			queue.waiting.set(key, request);
 		}
 
-		queue.speed.coldUntil = now() + (record?.warmupMilliseconds ?? 0);
+		queue.speed.coldUntil = now() + warmupMilliseconds;
 	}
 
-	function applyRecord(): void {
-		const slots = isAccepting() ? record!.slots : 0;
+	function applyServerState(): void {
+		const slots = isAccepting() ? localServer.record()!.slots : 0;
 		applyAssignment(changeSlots(queue, slots, now()));
 		if (slots === 0) {
 			refuseWaiting('the server accepts no new requests');
@@ -497,6 +423,7 @@
 				attempt,
 				request: createGateRequest(attempt, now()),
 				settle: settleResult,
+				serverId: undefined,
 				exchange: undefined,
 				cancelled: false,
 				startedAt: 0,
@@ -536,23 +463,12 @@
 			);
 		},
 		discoverServer() {
-			if (record === undefined) {
+			if (localServer.record() === undefined) {
 				void speedProbe.refresh();
 			}
 		},
-		handleAnnouncement,
-		deregisterServer(id) {
-			const ended = markServerGone(record, id);
-			if (ended === undefined) {
-				log.warn('farewell ignored', {id, held: record?.id});
-				return false;
-			}
-
-			record = ended;
-			log.info('server changed', {id, state: ended.state});
-			applyRecord();
-			return true;
-		},
+		handleAnnouncement: localServer.handleAnnouncement,
+		deregisterServer: localServer.deregister,
 		isParentRunning(requestId) {
 			for (const {attempt, exchange} of entries.values()) {
 				const {requestId: runningId} = attempt.call;
@@ -566,10 +482,10 @@
 		},
 		drain() {
 			leaving = true;
-			applyRecord();
+			applyServerState();
 		},
 		state: () => ({
-			server: record,
+			server: localServer.record(),
 			accepting: isAccepting(),
 			running: queue.running.size,
 			waiting: queue.waiting.size,
--- /dev/null
+++ b/src/relay/local-server.ts
@@ -0,0 +1,149 @@
+/**
+ * What the node knows of its local server: from the server's announcements, from its responses and
+ * from its health path. It decides whether the server gets new requests.
+ */
+import {
+	announcementVerdicts,
+	applyAnnouncement,
+	evaluateAnnouncement,
+	isSameProcess,
+	markServerGone,
+	markServerLeaving,
+	serverStates,
+	type AnnouncementVerdict,
+	type ExpectedServer,
+	type ServerAnnouncement,
+	type ServerRecord,
+} from '../announcement/index.js';
+import type {Logger} from '../log/index.js';
+import type {ServerHealth, ServerNotice} from './platform-protocol.js';
+import {createServerNotices, noticeSources} from './server-notices.js';
+
+export type LocalServerOptions = {
+	readonly log: Logger;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	readonly expected: ExpectedServer;
+	/** Called when another server process has announced itself. */
+	readonly onNewProcess: (record: ServerRecord) => void;
+	/** Called when the state of the server has changed. */
+	readonly onStateChange: () => void;
+	/** Called when the server names another limit on its request rate; infinite for none. */
+	readonly onRequestRate: (requestsPerSecond: number) => void;
+};
+
+export type LocalServer = {
+	/** Undefined until the server is known. */
+	readonly record: () => ServerRecord | undefined;
+	/** Whether the server is ready and reachable. */
+	readonly isAvailable: () => boolean;
+	readonly handleAnnouncement: (announcement: ServerAnnouncement) => AnnouncementVerdict;
+	/** Handles the deregistration of the server with this id; false if it is another server. */
+	readonly deregister: (id: string) => boolean;
+	/** Handles the response of the health path. */
+	readonly handleHealth: (health: ServerHealth) => void;
+	/** Handles what a response to a request that was sent to the server with this id states. */
+	readonly handleNotice: (notice: ServerNotice, serverId: string | undefined) => void;
+	/** Sends it no new requests for a while. */
+	readonly markUnreachable: (reason: string, milliseconds: number) => void;
+};
+
+/**
+ * Creates the view of a server about which nothing is known yet.
+ *
+ * @param options address and service of the server, and what to call on changes
+ * @returns the local server
+ */
+export function createLocalServer(options: LocalServerOptions): LocalServer {
+	const {log, now, expected} = options;
+	let record: ServerRecord | undefined;
+	let unreachableUntil = Number.NEGATIVE_INFINITY;
+	const notices = createServerNotices({
+		log,
+		onRequestRate: options.onRequestRate,
+		onLeaving() {
+			record &&= markServerLeaving(record);
+			options.onStateChange();
+		},
+	});
+
+	function handleAnnouncement(announcement: ServerAnnouncement): AnnouncementVerdict {
+		const verdict = evaluateAnnouncement(record, announcement, expected);
+		if (verdict !== announcementVerdicts.accepted) {
+			log.warn('announcement ignored', {verdict, ...announcement, held: record?.id});
+			return verdict;
+		}
+
+		const previous = record;
+		const isNewProcess = previous === undefined || !isSameProcess(previous, announcement);
+		record = applyAnnouncement(previous, announcement, now());
+		if (isNewProcess) {
+			notices.reset();
+			options.onNewProcess(record);
+		}
+
+		unreachableUntil = Number.NEGATIVE_INFINITY;
+		if (isNewProcess || previous.state !== record.state) {
+			log.info('server changed', {...announcement, state: record.state});
+			options.onStateChange();
+		}
+
+		return verdict;
+	}
+
+	/** After the node's start, registers the server by its health until it announces itself. */
+	function adoptFromHealth({serverId, slots, isHealthy, isLeaving}: ServerHealth): void {
+		if (!isHealthy || isLeaving || serverId === undefined || slots === undefined) {
+			return;
+		}
+
+		handleAnnouncement({
+			...expected,
+			id: serverId,
+			slots,
+			state: serverStates.ready,
+			sequence: Number.NEGATIVE_INFINITY,
+			warmupMilliseconds: 0,
+			startedAt: undefined,
+		});
+	}
+
+	return {
+		record: () => record,
+		isAvailable: () => record?.state === serverStates.ready && now() >= unreachableUntil,
+		handleAnnouncement,
+		deregister(id) {
+			const ended = markServerGone(record, id);
+			if (ended === undefined) {
+				log.warn('farewell ignored', {id, held: record?.id});
+				return false;
+			}
+
+			record = ended;
+			log.info('server changed', {id, state: ended.state});
+			options.onStateChange();
+			return true;
+		},
+		handleHealth(health) {
+			if (record === undefined) {
+				adoptFromHealth(health);
+			}
+
+			if (health.serverId !== undefined && health.serverId === record?.id) {
+				notices.record(health, noticeSources.health, record.id);
+			}
+		},
+		handleNotice(notice, serverId) {
+			if (record !== undefined && serverId === record.id) {
+				notices.record(notice, noticeSources.response, serverId);
+			}
+		},
+		markUnreachable(reason, milliseconds) {
+			if (now() >= unreachableUntil) {
+				log.warn('server unreachable', {server: record?.id, reason});
+			}
+
+			unreachableUntil = now() + milliseconds;
+		},
+	};
+}
