Send one request to a server that has not answered yet

A restarted node could start as many requests as its server has slots before it knew of a limit, if it could not ask the health path: while it has no routes yet, or when the limit on probes is used up.

Cause: not having read a limit was taken for having none. Now the first response of a server process, of a request or of the health path, opens its other slots; before it, one request runs. Where the health path can be asked nothing changes, since it is asked before the first start.

A server without a limit still gets all its slots after its first response (test).

--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -89,6 +89,7 @@
 		expected: {address: `${server.host}:${server.port}`, service: server.service},
 		onNewProcess: resetForNewProcess,
 		onStateChange: applyServerState,
+		onSlotsUsable: applyUsableSlots,
 		onRequestRate(requestsPerSecond) {
 			changeStartRate(queue.startRate, requestsPerSecond, now());
 		},
@@ -403,8 +404,8 @@
 	}
 
 	function applyServerState(): void {
+		applyUsableSlots();
 		const slots = isAccepting() ? localServer.record()!.slots : 0;
-		applyAssignment(changeSlots(queue, slots, now()));
 		if (slots === 0) {
 			refuseWaiting('the server accepts no new requests');
 		}
@@ -412,6 +413,11 @@
 		options.onSlotsChanged(slots);
 	}
 
+	function applyUsableSlots(): void {
+		const slots = isAccepting() ? localServer.usableSlots() : 0;
+		applyAssignment(changeSlots(queue, slots, now()));
+	}
+
 	return {
 		run(attempt) {
 			let settleResult!: (result: AttemptResult) => void;
--- a/src/relay/local-server.ts
+++ b/src/relay/local-server.ts
@@ -28,6 +28,8 @@
 	readonly onNewProcess: (record: ServerRecord) => void;
 	/** Called when the state of the server has changed. */
 	readonly onStateChange: () => void;
+	/** Called when more of its slots may be used. */
+	readonly onSlotsUsable: () => void;
 	/** Called when the server names another limit on its request rate; infinite for none. */
 	readonly onRequestRate: (requestsPerSecond: number) => void;
 };
@@ -37,6 +39,11 @@
 	readonly record: () => ServerRecord | undefined;
 	/** Whether the server is ready and reachable. */
 	readonly isAvailable: () => boolean;
+	/**
+	 * How many of its slots may be used. Before its first response it may have a limit that this node
+	 * does not know yet, and gets one request.
+	 */
+	readonly usableSlots: () => number;
 	readonly handleAnnouncement: (announcement: ServerAnnouncement) => AnnouncementVerdict;
 	/** Handles the deregistration of the server with this id; false if it is another server. */
 	readonly deregister: (id: string) => boolean;
@@ -61,6 +68,7 @@
 	const notices = createServerNotices({
 		log,
 		onRequestRate: options.onRequestRate,
+		onFirstNotice: options.onSlotsUsable,
 		onLeaving() {
 			record &&= markServerLeaving(record);
 			options.onStateChange();
@@ -108,9 +116,20 @@
 		});
 	}
 
+	function isAvailable(): boolean {
+		return record?.state === serverStates.ready && now() >= unreachableUntil;
+	}
+
 	return {
 		record: () => record,
-		isAvailable: () => record?.state === serverStates.ready && now() >= unreachableUntil,
+		isAvailable,
+		usableSlots() {
+			if (record === undefined || !isAvailable()) {
+				return 0;
+			}
+
+			return notices.isKnown() ? record.slots : Math.min(1, record.slots);
+		},
 		handleAnnouncement,
 		deregister(id) {
 			const ended = markServerGone(record, id);
--- a/src/relay/server-notices.ts
+++ b/src/relay/server-notices.ts
@@ -16,6 +16,8 @@
 export type NoticeSource = (typeof noticeSources)[keyof typeof noticeSources];
 
 export type ServerNotices = {
+	/** Whether the current server process has stated anything yet. */
+	readonly isKnown: () => boolean;
 	readonly record: (
 		notice: ServerNotice,
 		source: NoticeSource,
@@ -31,6 +33,8 @@
 	readonly onRequestRate: (requestsPerSecond: number) => void;
 	/** Called once when the server states that it leaves. */
 	readonly onLeaving: () => void;
+	/** Called after the first notice of a server process. */
+	readonly onFirstNotice: () => void;
 };
 
 /**
@@ -43,7 +47,34 @@
 	const {log} = options;
 	let requestsPerSecond = Number.POSITIVE_INFINITY;
 	let isLeaving = false;
+	let isKnown = false;
+
+	function recordRequestRate(
+		stated: number | undefined,
+		source: NoticeSource,
+		serverId: string | undefined,
+	): void {
+		if (stated === undefined) {
+			log.warn('server limit unreadable', {server: serverId, source});
+			return;
+		}
+
+		if (stated === requestsPerSecond) {
+			return;
+		}
+
+		log.info('server limit changed', {
+			server: serverId,
+			source,
+			requestsPerSecond: stated,
+			before: requestsPerSecond,
+		});
+		requestsPerSecond = stated;
+		options.onRequestRate(stated);
+	}
+
 	return {
+		isKnown: () => isKnown,
 		record(notice, source, serverId) {
 			if (notice.isLeaving && !isLeaving) {
 				isLeaving = true;
@@ -51,27 +82,15 @@
 				options.onLeaving();
 			}
 
-			const stated = notice.requestsPerSecond;
-			if (stated === undefined) {
-				log.warn('server limit unreadable', {server: serverId, source});
-				return;
-			}
-
-			if (stated === requestsPerSecond) {
-				return;
+			recordRequestRate(notice.requestsPerSecond, source, serverId);
+			if (!isKnown) {
+				isKnown = true;
+				options.onFirstNotice();
 			}
-
-			log.info('server limit changed', {
-				server: serverId,
-				source,
-				requestsPerSecond: stated,
-				before: requestsPerSecond,
-			});
-			requestsPerSecond = stated;
-			options.onRequestRate(stated);
 		},
 		reset() {
 			isLeaving = false;
+			isKnown = false;
 			requestsPerSecond = Number.POSITIVE_INFINITY;
 		},
 	};
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -1,28 +1,31 @@
 /** The gate while the limit on health probes allows none. */
-import {createServer} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type OutgoingHttpHeaders,
+	type RequestListener,
+	type ServerResponse,
+} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {platformProtocol} from '../../platform/protocol.js';
 import {serverStates} from '../../src/announcement/index.js';
 import {attemptResultKinds} from '../../src/call/index.js';
 import {createInboundLink} from '../../src/waiting/index.js';
+import type {RelayAttempt} from '../../src/relay/call.js';
 import {createRelayGate} from '../../src/relay/gate.js';
 
-test('consecutive requests are served while no health probe is allowed', async () => {
-	const server = createServer((request, response) => {
-		response.writeHead(200, {
-			'x-request-id': request.headers['x-request-id'],
-			'x-response-seal': 'seal',
-			'content-length': '0',
-		});
-		response.end();
-	});
+const silent = (): void => undefined;
+
+/** A gate without health probes in front of a server. */
+async function startGate(context: TestContext, handle: RequestListener) {
+	const server = createServer(handle);
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const {port} = server.address() as AddressInfo;
-	const silent = (): void => undefined;
 	const gate = createRelayGate({
 		protocol: platformProtocol,
 		log: {info: silent, warn: silent, error: silent},
@@ -38,6 +41,11 @@
 		onSlotsChanged: silent,
 		onAttemptEnd: silent,
 	});
+	context.after(() => {
+		gate.close();
+		server.close();
+		server.closeAllConnections();
+	});
 	gate.handleAnnouncement({
 		id: 'server-1',
 		address: `127.0.0.1:${port}`,
@@ -48,41 +56,98 @@
 		warmupMilliseconds: 0,
 		startedAt: 1,
 	});
+	return gate;
+}
+
+function createAttempt(sequence: number): RelayAttempt {
+	const at = performance.now();
+	return {
+		id: {ingress: 'node/1', sequence},
+		isRetry: false,
+		call: {
+			requestId: `request-${sequence}`,
+			route: 'search',
+			service: 'bookings',
+			method: 'GET',
+			path: '/search/1',
+			headers: ['X-Request-Id', `request-${sequence}`],
+			body: new Uint8Array(0),
+			originService: 'bookings',
+			rank: 1,
+			idempotent: true,
+			nested: false,
+			targetMilliseconds: 400,
+			arrivedAt: at,
+			targetAt: at + 400,
+			deadlineAt: at + 2000,
+			maximumAttempts: 2,
+		},
+	};
+}
+
+function respond(
+	request: IncomingMessage,
+	response: ServerResponse,
+	headers: OutgoingHttpHeaders = {},
+): void {
+	response.writeHead(200, {
+		'x-request-id': request.headers['x-request-id'],
+		'x-response-seal': 'seal',
+		'content-length': '0',
+		...headers,
+	});
+	response.end();
+}
+
+test('consecutive requests are served while no health probe is allowed', async context => {
+	const gate = await startGate(context, (request, response) => {
+		respond(request, response);
+	});
 	const kinds: string[] = [];
 	for (let sequence = 1; sequence <= 3; sequence += 1) {
-		const at = performance.now();
-		const {result} = gate.run({
-			id: {ingress: 'node/1', sequence},
-			isRetry: false,
-			call: {
-				requestId: `request-${sequence}`,
-				route: 'search',
-				service: 'bookings',
-				method: 'GET',
-				path: '/search/1',
-				headers: ['X-Request-Id', `request-${sequence}`],
-				body: new Uint8Array(0),
-				originService: 'bookings',
-				rank: 1,
-				idempotent: true,
-				nested: false,
-				targetMilliseconds: 400,
-				arrivedAt: at,
-				targetAt: at + 400,
-				deadlineAt: at + 2000,
-				maximumAttempts: 2,
-			},
-		});
-		const settled = await result;
+		const settled = await gate.run(createAttempt(sequence)).result;
 		kinds.push(settled.kind);
 		// By the next request the last speed report is stale.
-		await new Promise(resolve => {
-			setTimeout(resolve, 20);
-		});
+		await sleep(20);
 	}
 
-	gate.close();
-	server.close();
-	server.closeAllConnections();
 	expect(kinds).toEqual([1, 2, 3].map(() => attemptResultKinds.answered));
 });
+
+test('a restarted gate that may not probe does not exceed a limit that it has yet to learn', async context => {
+	let received = 0;
+	const gate = await startGate(context, (request, response) => {
+		received += 1;
+		setTimeout(() => {
+			respond(request, response, {'server-limit': '1'});
+		}, 50);
+	});
+	const results = Array.from({length: 8}, async (_, index) => {
+		const settled = await gate.run(createAttempt(index + 1)).result;
+		return settled.kind;
+	});
+	const kinds = await Promise.all(results);
+	// One before the limit is known, and one or two in the two seconds until the deadline.
+	expect(received).toBeLessThanOrEqual(3);
+	expect(kinds.includes(attemptResultKinds.answered)).toEqual(true);
+});
+
+test('a server without a limit gets as many requests at once as it has slots', async context => {
+	const state = {running: 0, most: 0};
+	const gate = await startGate(context, (request, response) => {
+		state.running += 1;
+		state.most = Math.max(state.most, state.running);
+		setTimeout(() => {
+			state.running -= 1;
+			respond(request, response);
+		}, 50);
+	});
+	await gate.run(createAttempt(1)).result;
+	await Promise.all(
+		Array.from(
+			{length: 8},
+			async (_, index) => gate.run(createAttempt(index + 2)).result,
+		),
+	);
+	expect(state.most).toEqual(4);
+});
