Move the driving of the queue out of the gate

The gate held two jobs: the attempts, and the timers and speed reports that drive its queue. The latter are now gate-queue.ts; decisions stay in src/waiting.

--- a/src/relay/gate-entry.ts
+++ b/src/relay/gate-entry.ts
@@ -16,8 +16,40 @@
 	startedAt: number;
 };
 
+/**
+ * Creates the entry of an attempt that has arrived.
+ *
+ * @param attempt the attempt
+ * @param now monotonic time in milliseconds
+ * @param settle called once with the result
+ * @returns the entry, not started
+ */
+export function createEntry(
+	attempt: RelayAttempt,
+	now: number,
+	settle: (result: AttemptResult) => void,
+): GateEntry {
+	return {
+		key: formatAttemptId(attempt.id),
+		attempt,
+		request: createGateRequest(attempt, now),
+		settle,
+		serverId: undefined,
+		exchange: undefined,
+		cancelled: false,
+		startedAt: 0,
+	};
+}
+
+/** Tells whether a started request made the one with an id; the id of a nested request extends it. */
+export function isParentOf({attempt, exchange}: GateEntry, requestId: string): boolean {
+	const {requestId: runningId} = attempt.call;
+	const isLonger = requestId.length > runningId.length && runningId !== '';
+	return exchange !== undefined && isLonger && requestId.startsWith(runningId);
+}
+
 /** Creates the queue's view of an attempt. */
-export function createGateRequest({id, call}: RelayAttempt, now: number): GateRequest {
+function createGateRequest({id, call}: RelayAttempt, now: number): GateRequest {
 	return {
 		id: formatAttemptId(id),
 		rank: call.rank,
--- /dev/null
+++ b/src/relay/gate-queue.ts
@@ -0,0 +1,159 @@
+/**
+ * Drives the queue of a gate: rechecks it while requests wait, and asks for the server's speed before
+ * requests start. The decisions themselves are those of `src/waiting`.
+ */
+import {
+	assignSlots,
+	changeSlots,
+	changeStartRate,
+	createQueue,
+	currentSlowdown,
+	finishRequest,
+	offerOutcomes,
+	offerRequest,
+	withdrawRequest,
+	type GateRequest,
+	type OfferResult,
+	type QueueState,
+	type RequestEnd,
+	type SlotAssignment,
+} from '../waiting/index.js';
+
+export type GateQueueOptions = {
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	/** Asks for the server's speed; resolves once it is known or assumed. */
+	readonly refreshSpeed: () => Promise<void>;
+	/** Called for each request that starts now. */
+	readonly onStart: (id: string) => void;
+	/** Called for each waiting request that no longer has time. */
+	readonly onTooLate: (id: string) => void;
+};
+
+export type GateQueue = {
+	/** For estimates and reports; changed only through the queue. */
+	readonly state: () => QueueState;
+	/** Offers a request; if it is queued, it may start before this returns. */
+	readonly offer: (request: GateRequest) => OfferResult;
+	/** Ends a request that had started. */
+	readonly finish: (id: string, end: RequestEnd) => void;
+	/** Withdraws a request; false if it does not wait. */
+	readonly withdraw: (id: string) => boolean;
+	/** Sets the number of requests that may run at once; zero while none may start. */
+	readonly changeSlots: (slots: number) => void;
+	/** Sets the limit on the request rate; infinite for none. */
+	readonly changeRequestRate: (requestsPerSecond: number) => void;
+	/** Forgets what was learned of the server, and keeps the requests. */
+	readonly resetServer: (warmupMilliseconds: number) => void;
+	/** Lists the figures of the queue for the log. */
+	readonly describe: () => Record<string, unknown>;
+	readonly close: () => void;
+};
+
+/** Rechecks waiting requests this often: they may be too late, or the server's speed changed. */
+const checkIntervalMilliseconds = 15;
+
+/**
+ * Creates an empty queue without slots.
+ *
+ * @param options the clock, the speed of the server, and what to do with requests that leave the queue
+ * @returns the queue
+ */
+export function createGateQueue(options: GateQueueOptions): GateQueue {
+	const {now} = options;
+	let state = createQueue(0);
+	let isReportAwaited = false;
+	let checkTimer: NodeJS.Timeout | undefined;
+
+	/** Assigns free slots; asks for the server's speed first if it is not known. */
+	function processRequests(): void {
+		const assignment = assignSlots(state, now());
+		applyAssignment(assignment);
+		if (assignment.needsSpeedReport) {
+			processAfterReport();
+			return;
+		}
+
+		if (state.waiting.size > 0) {
+			scheduleCheck();
+		}
+	}
+
+	/** Processes the queue once per speed report, however many requests wait for it. */
+	function processAfterReport(): void {
+		if (isReportAwaited) {
+			return;
+		}
+
+		isReportAwaited = true;
+		void options.refreshSpeed().then(() => {
+			isReportAwaited = false;
+			processRequests();
+		});
+	}
+
+	/** One timer serves the whole queue; none runs while it is empty. */
+	function scheduleCheck(): void {
+		checkTimer ??= setTimeout(() => {
+			checkTimer = undefined;
+			processRequests();
+		}, checkIntervalMilliseconds);
+	}
+
+	function applyAssignment({tooLate, started}: SlotAssignment): void {
+		for (const id of tooLate) {
+			options.onTooLate(id);
+		}
+
+		for (const id of started) {
+			options.onStart(id);
+		}
+	}
+
+	return {
+		state: () => state,
+		offer(request) {
+			const result = offerRequest(state, request, now());
+			if (result.outcome === offerOutcomes.queued) {
+				processRequests();
+			}
+
+			return result;
+		},
+		finish(id, end) {
+			applyAssignment(finishRequest(state, id, end, now()));
+			if (state.waiting.size > 0) {
+				processRequests();
+			}
+		},
+		withdraw: id => withdrawRequest(state, id),
+		changeSlots(slots) {
+			applyAssignment(changeSlots(state, slots, now()));
+		},
+		changeRequestRate(requestsPerSecond) {
+			changeStartRate(state.startRate, requestsPerSecond, now());
+		},
+		resetServer(warmupMilliseconds) {
+			const previous = state;
+			state = createQueue(previous.slots);
+			for (const [id, running] of previous.running) {
+				state.running.set(id, running);
+			}
+
+			for (const [id, request] of previous.waiting) {
+				state.waiting.set(id, request);
+			}
+
+			state.speed.coldUntil = now() + warmupMilliseconds;
+		},
+		describe: () => ({
+			running: state.running.size,
+			waiting: state.waiting.size,
+			limit: state.limit,
+			slowdown: currentSlowdown(state.speed, now()),
+		}),
+		close() {
+			clearTimeout(checkTimer);
+		},
+	};
+}
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -3,7 +3,6 @@
  * it, so it knows exactly how many run, keeps the queue in order and sends nothing new to a server
  * that is leaving. A request that it refuses before dispatch is reported as not run.
  */
-import type {ServerRecord} from '../announcement/index.js';
 import {
 	admissionResults,
 	admitAttempt,
@@ -28,27 +27,18 @@
 } from '../placing/index.js';
 import {recordFirstAttempt, createRetryBudget, trySpendRetry} from '../repeats/index.js';
 import {
-	changeSlots,
-	changeStartRate,
 	chooseRetryAfter,
-	createQueue,
-	currentSlowdown,
-	finishRequest,
 	estimateTransferTime,
 	estimateWait,
 	estimateServiceTime,
 	hasRoomFor,
 	isSpeedStale,
 	offerOutcomes,
-	offerRequest,
 	recordSlowdown,
-	assignSlots,
-	withdrawRequest,
 	type OfferResult,
-	type QueueState,
-	type SlotAssignment,
 } from '../waiting/index.js';
-import {describeEntry, createGateRequest, type GateEntry} from './gate-entry.js';
+import {createEntry, describeEntry, isParentOf, type GateEntry} from './gate-entry.js';
+import {createGateQueue} from './gate-queue.js';
 import type {RelayGate, RelayGateOptions} from './gate-types.js';
 import {createLocalServer} from './local-server.js';
 import {createSpeedProbe} from './speed-probe.js';
@@ -59,8 +49,6 @@
 	type ServerTarget,
 } from './server-exchange.js';
 
-/** Rechecks waiting requests this often: they may be too late, or the server's speed changed. */
-const queueCheckIntervalMilliseconds = 15;
 /** How long a server that refuses connections gets no requests. */
 const unreachableBackoffMilliseconds = 700;
 /** How long a server whose health path does not respond gets no requests. */
@@ -80,26 +68,33 @@
 	const attempts = createAttemptTable();
 	const retryBudget = createRetryBudget();
 	const entries = new Map<string, GateEntry>();
-	let queue: QueueState = createQueue(0);
 	let failureRate: FailureRate = createFailureRate();
 	let leaving = false;
+	const queue = createGateQueue({
+		now,
+		refreshSpeed: async () => speedProbe.refresh(),
+		onStart: startEntry,
+		onTooLate: refuseTooLate,
+	});
 	const localServer = createLocalServer({
 		log,
 		now,
 		expected: {address: `${server.host}:${server.port}`, service: server.service},
-		onNewProcess: resetForNewProcess,
+		onNewProcess({warmupMilliseconds}) {
+			client.discardConnections();
+			failureRate = createFailureRate();
+			queue.resetServer(warmupMilliseconds);
+		},
 		onStateChange: applyServerState,
 		onSlotsUsable: applyUsableSlots,
-		onRequestRate(requestsPerSecond) {
-			changeStartRate(queue.startRate, requestsPerSecond, now());
-		},
+		onRequestRate: queue.changeRequestRate,
 	});
 	const speedProbe = createSpeedProbe({
 		probe: async path => client.probe(describeTarget(), path),
 		healthPath: options.healthPath,
 		probesPerSecond: options.probesPerSecond,
 		now,
-		serverSpeed: () => queue.speed,
+		serverSpeed: () => queue.state().speed,
 		onHealth: localServer.handleHealth,
 		onTimeout() {
 			markUnreachable(
@@ -108,8 +103,6 @@
 			);
 		},
 	});
-	let isReportAwaited = false;
-	let queueTimer: NodeJS.Timeout | undefined;
 
 	function isAccepting(): boolean {
 		return localServer.isAvailable() && !leaving;
@@ -190,82 +183,60 @@
 	}
 
 	function offer(entry: GateEntry): void {
-		const decision = offerRequest(queue, entry.request, now());
+		const decision = queue.offer(entry.request);
 		if (decision.outcome === offerOutcomes.tooLate) {
-			refuse(entry, createTooLateRefusal(entry, decision), describeOffer(decision));
+			const {waitMilliseconds} = decision;
+			const remaining = entry.request.deadlineAt - now();
+			const pause = chooseRetryAfter(waitMilliseconds, remaining, options.random());
+			const message =
+				'the response would come too late: try again after the stated pause';
+			const refusal = createRefusal(refusalKinds.overloaded, message, pause);
+			refuse(entry, refusal, describeOffer(decision));
 			return;
 		}
 
-		processQueue();
 		if (entry.exchange === undefined) {
 			log.info('gate queued', {...describeEntry(entry), ...describeOffer(decision)});
 		}
 	}
 
-	/** Assigns free slots; asks for the server's speed first if it is not known. */
-	function processQueue(): void {
-		const assignment = assignSlots(queue, now());
-		applyAssignment(assignment);
-		if (assignment.needsSpeedReport) {
-			processQueueAfterReport();
-			return;
-		}
-
-		if (queue.waiting.size > 0) {
-			scheduleQueueCheck();
-		}
-	}
-
-	/** Processes the queue once per speed report, however many requests wait for it. */
-	function processQueueAfterReport(): void {
-		if (isReportAwaited) {
-			return;
-		}
-
-		isReportAwaited = true;
-		void speedProbe.refresh().then(() => {
-			isReportAwaited = false;
-			processQueue();
-		});
-	}
-
 	function markUnreachable(reason: string, milliseconds: number): void {
 		localServer.markUnreachable(reason, milliseconds);
 		client.discardConnections();
 		refuseWaiting(reason);
 	}
 
-	function createTooLateRefusal(entry: GateEntry, decision: OfferResult): Refusal {
-		const remaining = entry.request.deadlineAt - now();
-		const pause = chooseRetryAfter(
-			decision.waitMilliseconds,
-			remaining,
-			options.random(),
-		);
-		const message = 'the response would come too late: try again after the stated pause';
-		return createRefusal(refusalKinds.overloaded, message, pause);
-	}
-
 	function describeOffer(decision: OfferResult): Record<string, unknown> {
 		return {
 			waitMilliseconds: Math.round(decision.waitMilliseconds),
 			durationMilliseconds: Math.round(decision.durationMilliseconds),
-			running: queue.running.size,
-			waiting: queue.waiting.size,
-			limit: queue.limit,
-			slowdown: currentSlowdown(queue.speed, now()),
+			...queue.describe(),
 		};
 	}
 
+	function startEntry(key: string): void {
+		const entry = entries.get(key);
+		if (entry) {
+			dispatch(entry);
+		}
+	}
+
+	function refuseTooLate(key: string): void {
+		const entry = entries.get(key);
+		if (entry) {
+			const message = 'the response would now come too late';
+			refuse(entry, createRefusal(refusalKinds.overloaded, message), {
+				waitedMilliseconds: Math.round(now() - entry.request.arrivedAt),
+			});
+		}
+	}
+
 	function dispatch(entry: GateEntry): void {
 		log.info('gate started', {
 			...describeEntry(entry),
 			waitedMilliseconds: Math.round(now() - entry.request.arrivedAt),
-			running: queue.running.size,
-			waiting: queue.waiting.size,
-			limit: queue.limit,
-			slowdown: currentSlowdown(queue.speed, now()),
-			reportAge: Math.round(now() - queue.speed.reportedAt),
+			...queue.describe(),
+			reportAge: Math.round(now() - queue.state().speed.reportedAt),
 		});
 		dispatchAttempt(attempts, entry.attempt.id);
 		entry.startedAt = now();
@@ -291,10 +262,7 @@
 		finishAttempt(attempts, entry.attempt.id);
 		recordServerResult(entry, result, finishedAt);
 		const isComplete = result.kind === serverResultKinds.answered && !entry.cancelled;
-		applyAssignment(finishRequest(queue, entry.key, {isComplete}, finishedAt));
-		if (queue.waiting.size > 0) {
-			processQueue();
-		}
+		queue.finish(entry.key, {isComplete});
 
 		log.info('gate finished', {
 			...describeEntry(entry),
@@ -313,7 +281,7 @@
 		finishedAt: number,
 	): void {
 		if (result.metadata?.slowdown !== undefined) {
-			recordSlowdown(queue.speed, result.metadata.slowdown, finishedAt);
+			recordSlowdown(queue.state().speed, result.metadata.slowdown, finishedAt);
 		}
 
 		if (result.notice) {
@@ -334,29 +302,10 @@
 		}
 	}
 
-	function applyAssignment(assignment: SlotAssignment): void {
-		for (const key of assignment.tooLate) {
-			const entry = entries.get(key);
-			if (entry) {
-				const message = 'the response would now come too late';
-				refuse(entry, createRefusal(refusalKinds.overloaded, message), {
-					waitedMilliseconds: Math.round(now() - entry.request.arrivedAt),
-				});
-			}
-		}
-
-		for (const key of assignment.started) {
-			const entry = entries.get(key);
-			if (entry) {
-				dispatch(entry);
-			}
-		}
-	}
-
 	/** Refuses the waiting requests so that they can go to another gate. */
 	function refuseWaiting(reason: string): void {
-		for (const key of queue.waiting.keys()) {
-			withdrawRequest(queue, key);
+		for (const key of queue.state().waiting.keys()) {
+			queue.withdraw(key);
 			const entry = entries.get(key);
 			if (entry) {
 				refuse(entry, createRefusal(refusalKinds.noServer, `${reason}: use another`), {
@@ -366,14 +315,6 @@
 		}
 	}
 
-	/** One timer serves the whole queue; none runs while it is empty. */
-	function scheduleQueueCheck(): void {
-		queueTimer ??= setTimeout(() => {
-			queueTimer = undefined;
-			processQueue();
-		}, queueCheckIntervalMilliseconds);
-	}
-
 	function cancel(entry: GateEntry): void {
 		if (entry.exchange) {
 			entry.cancelled = true;
@@ -381,28 +322,12 @@
 			return;
 		}
 
-		if (withdrawRequest(queue, entry.key)) {
+		if (queue.withdraw(entry.key)) {
 			const message = 'the caller cancelled the request';
 			refuse(entry, createRefusal(refusalKinds.cancelled, message), {});
 		}
 	}
 
-	function resetForNewProcess({warmupMilliseconds}: ServerRecord): void {
-		client.discardConnections();
-		failureRate = createFailureRate();
-		const previous = queue;
-		queue = createQueue(previous.slots);
-		for (const [key, running] of previous.running) {
-			queue.running.set(key, running);
-		}
-
-		for (const [key, request] of previous.waiting) {
-			queue.waiting.set(key, request);
-		}
-
-		queue.speed.coldUntil = now() + warmupMilliseconds;
-	}
-
 	function applyServerState(): void {
 		applyUsableSlots();
 		const slots = isAccepting() ? localServer.record()!.slots : 0;
@@ -415,7 +340,7 @@
 
 	function applyUsableSlots(): void {
 		const slots = isAccepting() ? localServer.usableSlots() : 0;
-		applyAssignment(changeSlots(queue, slots, now()));
+		queue.changeSlots(slots);
 	}
 
 	return {
@@ -424,16 +349,7 @@
 			const result = new Promise<AttemptResult>(resolve => {
 				settleResult = resolve;
 			});
-			const entry: GateEntry = {
-				key: formatAttemptId(attempt.id),
-				attempt,
-				request: createGateRequest(attempt, now()),
-				settle: settleResult,
-				serverId: undefined,
-				exchange: undefined,
-				cancelled: false,
-				startedAt: 0,
-			};
+			const entry = createEntry(attempt, now(), settleResult);
 			admit(entry);
 			return {
 				result,
@@ -443,16 +359,16 @@
 			};
 		},
 		async report(question) {
-			if (isAccepting() && isSpeedStale(queue.speed, now())) {
+			if (isAccepting() && isSpeedStale(queue.state().speed, now())) {
 				await speedProbe.refresh();
 			}
 
 			return {
 				accepting: isAccepting() && hasRoomFor(options.inboundLink, question.bodyBytes),
-				waitMilliseconds: estimateWait(queue, question, now()),
+				waitMilliseconds: estimateWait(queue.state(), question, now()),
 				durationMilliseconds:
 					estimateTransferTime(options.inboundLink, question.bodyBytes) +
-					estimateServiceTime(queue, question, now()),
+					estimateServiceTime(queue.state(), question, now()),
 				failureShare: currentFailureShare(failureRate, now()),
 			};
 		},
@@ -476,10 +392,8 @@
 		handleAnnouncement: localServer.handleAnnouncement,
 		deregisterServer: localServer.deregister,
 		isParentRunning(requestId) {
-			for (const {attempt, exchange} of entries.values()) {
-				const {requestId: runningId} = attempt.call;
-				const isLonger = requestId.length > runningId.length && runningId !== '';
-				if (exchange && isLonger && requestId.startsWith(runningId)) {
+			for (const entry of entries.values()) {
+				if (isParentOf(entry, requestId)) {
 					return true;
 				}
 			}
@@ -493,14 +407,14 @@
 		state: () => ({
 			server: localServer.record(),
 			accepting: isAccepting(),
-			running: queue.running.size,
-			waiting: queue.waiting.size,
-			limit: queue.limit,
-			requestsPerSecond: queue.startRate.requestsPerSecond,
+			running: queue.state().running.size,
+			waiting: queue.state().waiting.size,
+			limit: queue.state().limit,
+			requestsPerSecond: queue.state().startRate.requestsPerSecond,
 			failureShare: currentFailureShare(failureRate, now()),
 		}),
 		close() {
-			clearTimeout(queueTimer);
+			queue.close();
 			client.close();
 		},
 	};
