Soak: servers that name limits, and a store that comes back from a copy

Two faults: a server names a limit for longer than nodes need to learn of it, and the store is away and comes back from a copy some seconds old, after which the operator writes its newest configuration again. A leaving server also says so in its responses. A check counts what a limited server gets in any window; it is seen to find too many in the unit test.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -35,6 +35,15 @@
 /** A drain of a server that its node acknowledged. */
 export type ServerDrain = {readonly server: string; readonly acknowledgedAt: number};
 
+/** A period in which a server named a limit on its request rate. */
+export type ServerLimit = {
+	readonly server: string;
+	readonly requestsPerSecond: number;
+	readonly from: number;
+	/** Infinity while it names the limit. */
+	until: number;
+};
+
 /** A configuration version written to the store. */
 export type StoredVersion = {readonly version: number; readonly at: number};
 
@@ -50,6 +59,7 @@
 	readonly requests: readonly SentRequest[];
 	readonly runs: readonly ServerRun[];
 	readonly drains: readonly ServerDrain[];
+	readonly limits: readonly ServerLimit[];
 	readonly versions: readonly StoredVersion[];
 	readonly disturbances: readonly Disturbance[];
 	/** Whether all faults of the run were planned operations. */
@@ -61,6 +71,8 @@
 	readonly maximumAttempts: number;
 	/** Time after the acknowledgement in which a draining server may still receive requests. */
 	readonly drainMilliseconds: number;
+	/** Time from the first response with a limit until it holds. */
+	readonly limitContactMilliseconds: number;
 	/** Time until a stored configuration is active at every node. */
 	readonly propagationMilliseconds: number;
 	/** Time after a disturbance until the time bounds apply again. */
@@ -74,6 +86,9 @@
 /** A broken connection, and the errors that a node sends in place of a server's response. */
 const cutStatuses: ReadonlySet<number> = new Set([0, 500, 502, 504]);
 const notFoundStatus = 404;
+const limitWindowMilliseconds = 4000;
+const limitTolerance = 1.5;
+const limitSlack = 5;
 
 /**
  * Finds every violation of the guarantees.
@@ -90,6 +105,7 @@
 			checkRuns(request, runsByRequest.get(request.id) ?? [], bounds),
 		),
 		...checkDrains(evidence, bounds),
+		...checkLimits(evidence, bounds),
 		...checkConfiguration(evidence, bounds),
 		...checkPlannedWork(evidence, runsByRequest),
 		...checkDeadline(evidence, bounds),
@@ -153,6 +169,30 @@
 	);
 }
 
+/** What a server may get in any window: one and a half times its limit, and a few requests more. */
+function countAllowed(requestsPerSecond: number): number {
+	return (
+		(limitTolerance * requestsPerSecond * limitWindowMilliseconds) / 1000 + limitSlack
+	);
+}
+
+function checkLimits({limits, runs}: Evidence, bounds: Bounds): string[] {
+	return limits.flatMap(({server, requestsPerSecond, from, until}) => {
+		const times = runs
+			.filter(run => run.server === server)
+			.map(({at}) => at)
+			.filter(at => at >= from + bounds.limitContactMilliseconds && at <= until);
+		const counts = times.map(
+			start =>
+				times.filter(at => at >= start && at < start + limitWindowMilliseconds).length,
+		);
+		const most = Math.max(0, ...counts);
+		return most > countAllowed(requestsPerSecond)
+			? [`limit: ${server} names ${requestsPerSecond} a second and got ${most}`]
+			: [];
+	});
+}
+
 function checkConfiguration(evidence: Evidence, bounds: Bounds): string[] {
 	const findings: string[] = [];
 	const highestSeen = new Map<string, {version: number; at: number}>();
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -33,12 +33,16 @@
 	confuseServer: 'confuse-server',
 	/** The server runs requests and never responds. */
 	muteServer: 'mute-server',
+	/** The server names a limit on its request rate, for longer than nodes need to learn of it. */
+	limitServer: 'limit-server',
 	resetServer: 'reset-server',
 	silenceServer: 'silence-server',
 	refuseAtStore: 'refuse-at-store',
 	slowStore: 'slow-store',
 	silenceStore: 'silence-store',
 	loseStoreAnswers: 'lose-store-answers',
+	/** The store is away and comes back from a copy some seconds old. */
+	restoreStore: 'restore-store',
 } as const;
 
 export type FaultKind = (typeof faultKinds)[keyof typeof faultKinds];
--- a/soak/inject-fault.ts
+++ b/soak/inject-fault.ts
@@ -1,14 +1,21 @@
 /** Injects the scheduled faults into nodes, servers and the store, and reverts them afterwards. */
 import {cuts, type LinkQuality, type LinkProxy} from '../stand-ins/network/link-proxy.js';
 import {serverBehaviours, type ServerBehaviour} from '../stand-ins/platform/server.js';
-import type {StandInStore} from '../stand-ins/platform/store.js';
+import type {StandInStore, StoreCopy} from '../stand-ins/platform/store.js';
 import {createConfiguration} from '../test/support/relay-mesh.js';
-import type {Disturbance, StoredVersion} from './checks.js';
+import type {Disturbance, ServerLimit, StoredVersion} from './checks.js';
 import {faultKinds, isDisturbance, type Fault, type FaultKind} from './faults.js';
 import {pause, type SoakNode} from './soak-node.js';
 
 const delayMilliseconds = 120;
 const storeDelayMilliseconds = 250;
+const limitPerSecond = 4;
+/** Time in which a limit is checked, after the time in which nodes may learn of it. */
+const limitMilliseconds = 8000;
+/** A restore goes back by at least this much, where there is a copy so old. */
+const copyAgeMilliseconds = 3000;
+/** Time until the operator has written its newest configuration to a restored store again. */
+const rewriteMilliseconds = 500;
 const normalLink: LinkQuality = {delayMilliseconds: 0, bytesPerSecond: 0, cut: cuts.none};
 
 export type SoakEnvironment = {
@@ -18,17 +25,28 @@
 	readonly now: () => number;
 	readonly versions: StoredVersion[];
 	readonly disturbances: Disturbance[];
+	readonly limits: ServerLimit[];
+	/** Copies of the store, made before each change of the configuration. */
+	readonly copies: TimedCopy[];
 };
 
+export type TimedCopy = {readonly copy: StoreCopy; readonly at: number};
+
 /** Stores a configuration that adds a route to those of the previous versions. */
-export function storeNextVersion({store, versions, now}: SoakEnvironment): void {
+export function storeNextVersion(environment: SoakEnvironment): void {
+	const {store, versions, copies, now} = environment;
+	copies.push({copy: store.takeCopy(), at: now()});
 	const version = versions.length + 2;
+	putVersion(store, version);
+	versions.push({version, at: now()});
+}
+
+function putVersion(store: StandInStore, version: number): void {
 	const prefixes = Array.from(
 		{length: version - 1},
 		(_, index) => `/since-${index + 2}/`,
 	);
 	store.putConfiguration(createConfiguration(version, ...prefixes));
-	versions.push({version, at: now()});
 }
 
 /**
@@ -112,6 +130,26 @@
 	[faultKinds.confuseServer]: async context =>
 		degradeServer(serverBehaviours.confuse, context),
 	[faultKinds.muteServer]: async context => degradeServer(serverBehaviours.mute, context),
+	async [faultKinds.limitServer]({environment, node, durationMilliseconds}) {
+		const id = node.serverId();
+		const {limits, now} = environment;
+		if (limits.some(limit => limit.server === id)) {
+			return;
+		}
+
+		const server = node.server();
+		const limit: ServerLimit = {
+			server: id,
+			requestsPerSecond: limitPerSecond,
+			from: now(),
+			until: Number.POSITIVE_INFINITY,
+		};
+		limits.push(limit);
+		server.changeNotice({requestsPerSecond: limitPerSecond});
+		await pause(limitMilliseconds + durationMilliseconds);
+		limit.until = now();
+		server.changeNotice({requestsPerSecond: undefined});
+	},
 	[faultKinds.resetServer]: async context =>
 		degradeLinks([context.node.serverLink], {cut: cuts.reset}, context),
 	[faultKinds.silenceServer]: async context =>
@@ -133,6 +171,17 @@
 		await pause(durationMilliseconds);
 		environment.store.setResponseLoss(false);
 	},
+	async [faultKinds.restoreStore]({environment, durationMilliseconds}) {
+		const {store, copies, versions, now} = environment;
+		const isOld = ({at}: TimedCopy): boolean => now() - at >= copyAgeMilliseconds;
+		const {copy} = copies.findLast(candidate => isOld(candidate)) ?? copies[0]!;
+		store.setUnavailable(true);
+		store.restore(copy);
+		await pause(durationMilliseconds);
+		store.setUnavailable(false);
+		await pause(rewriteMilliseconds);
+		putVersion(store, versions.at(-1)?.version ?? 1);
+	},
 };
 
 async function degradeLinks(
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -45,6 +45,7 @@
 const bounds: Bounds = {
 	maximumAttempts: 2,
 	drainMilliseconds,
+	limitContactMilliseconds: 3000,
 	propagationMilliseconds: 2000,
 	settleMilliseconds: 3000,
 	overdueMilliseconds: 500,
@@ -130,6 +131,7 @@
 		requests: callers.requests,
 		runs: environment.nodes.flatMap(node => node.runs()),
 		drains: environment.nodes.flatMap(({drains}) => drains),
+		limits: environment.limits,
 		versions: environment.versions,
 		disturbances: environment.disturbances,
 		isPlanned: schedule.isPlanned,
@@ -143,6 +145,7 @@
 ): Promise<SoakEnvironment> {
 	const store = createStandInStore();
 	store.putConfiguration(createConfiguration(1));
+	const copies = [{copy: store.takeCopy(), at: now()}];
 	const storePort = await listenOnFreePort(
 		{after: clean => cleanups.push(clean)},
 		store.server,
@@ -163,7 +166,7 @@
 		nodes.push(node);
 	}
 
-	return {nodes, store, now, versions: [], disturbances: []};
+	return {nodes, store, now, versions: [], disturbances: [], limits: [], copies};
 }
 
 /** Waits until every node serves an idempotent request; adds a finding for each that does not. */
--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -58,6 +58,8 @@
 	readonly serverLink: LinkProxy;
 	readonly storeLink: LinkProxy;
 	readonly server: () => StandInPlatformServer;
+	/** Id of the current server. */
+	readonly serverId: () => string;
 	/** Drains and ends the server, and starts a new one at its address. */
 	readonly replaceServer: () => Promise<void>;
 	/** Ends the server without deregistering it, and starts a new one after a pause. */
@@ -148,6 +150,10 @@
 		return child;
 	}
 
+	function describeServer(): string {
+		return `server-${index}-${servers.length - 1}`;
+	}
+
 	async function startServer(): Promise<void> {
 		const server = createStandInPlatformServer({
 			id: `server-${index}-${servers.length}`,
@@ -216,11 +222,12 @@
 		serverLink,
 		storeLink,
 		server: () => servers.at(-1)!,
+		serverId: describeServer,
 		async replaceServer() {
 			await changeServer(async server => {
+				server.changeNotice({isLeaving: true});
 				if ((await server.drain()) === 200) {
-					const id = `server-${index}-${servers.length - 1}`;
-					drains.push({server: id, acknowledgedAt: now()});
+					drains.push({server: describeServer(), acknowledgedAt: now()});
 				}
 
 				await pause(drainMilliseconds + workMilliseconds * 10);
--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -43,8 +43,8 @@
 
 /** What a server states about itself in its responses. */
 export type StandInNotice = {
-	/** Requests a second that it takes; no limit if absent. */
-	readonly requestsPerSecond?: number;
+	/** Requests a second that it takes; no limit if undefined. */
+	readonly requestsPerSecond?: number | undefined;
 	readonly isLeaving?: boolean;
 };
 
@@ -68,8 +68,11 @@
 	/** Deregisters at the node; resolves with the status of the response. */
 	readonly deregister: () => Promise<number>;
 	readonly setBehaviour: (behaviour: ServerBehaviour) => void;
-	/** States a limit on the request rate, or that the server leaves, in each response. */
-	readonly setNotice: (notice: StandInNotice) => void;
+	/**
+	 * States a limit on the request rate, or that the server leaves, in each response. What is not
+	 * given stays as it was.
+	 */
+	readonly changeNotice: (notice: StandInNotice) => void;
 	/** Resets the connection, after processing, of requests whose path contains this. */
 	readonly resetConnectionsOnPath: (path: string) => void;
 	/** Stops immediately; resolves when its port is free. */
@@ -235,8 +238,8 @@
 		setBehaviour(behaviour) {
 			state.behaviour = behaviour;
 		},
-		setNotice(notice) {
-			statedNotice = notice;
+		changeNotice(notice) {
+			statedNotice = {...statedNotice, ...notice};
 		},
 		resetConnectionsOnPath(path) {
 			state.resetPath = path;
--- a/test/process/server-leaving.test.ts
+++ b/test/process/server-leaving.test.ts
@@ -22,7 +22,7 @@
 	const mesh = await startRelayMesh(context, 2);
 	const {server} = mesh.nodes[0]!;
 	// Its heartbeats go on to say that it is ready, as delayed ones do.
-	server.setNotice({isLeaving: true});
+	server.changeNotice({isLeaving: true});
 	await sendRound(mesh, 'first');
 	await sleep(drainMilliseconds);
 	const before = server.receivedRequests.length;
@@ -35,7 +35,7 @@
 	const mesh = await startRelayMesh(context, 2);
 	const [restarted] = mesh.nodes;
 	const {server} = restarted!;
-	server.setNotice({isLeaving: true});
+	server.changeNotice({isLeaving: true});
 	await sendRound(mesh, 'first');
 	await restarted!.restart();
 	await sleep(drainMilliseconds);
--- a/test/process/server-limit.test.ts
+++ b/test/process/server-limit.test.ts
@@ -62,7 +62,7 @@
 	disturb: () => Promise<void>,
 ): Promise<readonly number[]> {
 	for (const {server} of nodes) {
-		server.setNotice({requestsPerSecond: limitPerSecond});
+		server.changeNotice({requestsPerSecond: limitPerSecond});
 	}
 
 	const flood = startFlood(nodes);
@@ -112,7 +112,7 @@
 	const {nodes} = mesh;
 	await floodLimitedServers(mesh, notDisturbed);
 	for (const {server} of nodes) {
-		server.setNotice({});
+		server.changeNotice({requestsPerSecond: undefined});
 	}
 
 	await sleep(500);
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -12,6 +12,7 @@
 const bounds: Bounds = {
 	maximumAttempts: 2,
 	drainMilliseconds: 2000,
+	limitContactMilliseconds: 3000,
 	propagationMilliseconds: 2000,
 	settleMilliseconds: 3000,
 	overdueMilliseconds: 500,
@@ -38,6 +39,7 @@
 		requests: [served],
 		runs: [{id: 'one', server: 'server-0', at: 10_010}],
 		drains: [],
+		limits: [],
 		versions: [],
 		disturbances: [],
 		isPlanned: true,
@@ -50,6 +52,10 @@
 const denied: SentRequest = {...refused, status: 404, sinceVersion: 2};
 const later = {sentAt: 10_100, endedAt: 10_120};
 
+const limit = {server: 'server-0', requestsPerSecond: 2, from: 5000, until: 20_000};
+const crowd = (count: number, at: number) =>
+	Array.from({length: count}, (_, index) => ({...run, id: `run-${index}`, at}));
+
 const cases: ReadonlyArray<readonly [string, Partial<Evidence>, string | undefined]> = [
 	['valid evidence has no findings', {}, undefined],
 	[
@@ -74,6 +80,21 @@
 		{drains: [{server: 'server-0', acknowledgedAt: 9000}]},
 		undefined,
 	],
+	[
+		'more requests than a limit allows are found',
+		{limits: [limit], runs: crowd(18, 10_010)},
+		'limit',
+	],
+	[
+		'as many requests as a limit allows are accepted',
+		{limits: [limit], runs: crowd(17, 10_010)},
+		undefined,
+	],
+	[
+		'requests before a limit holds are accepted',
+		{limits: [limit], runs: crowd(18, 7900)},
+		undefined,
+	],
 	[
 		'a 404 for a route stored long before is found',
 		{requests: [denied], runs: [], versions: [{version: 2, at: 7000}]},
