Log an unreadable limit once, not with each response

A server that names a limit that cannot be read made its node write a warning for each response. Now one until a limit can be read again; the last limit stays in force, as before. Before: three warnings for three such notices in the test; after: two, one for each time that it became unreadable.

--- a/src/relay/server-notices.ts
+++ b/src/relay/server-notices.ts
@@ -48,18 +48,19 @@
 	let requestsPerSecond = Number.POSITIVE_INFINITY;
 	let isLeaving = false;
 	let isKnown = false;
+	let isRateReadable = true;
 
 	function recordRequestRate(
 		stated: number | undefined,
 		source: NoticeSource,
 		serverId: string | undefined,
 	): void {
-		if (stated === undefined) {
+		if (stated === undefined && isRateReadable) {
 			log.warn('server limit unreadable', {server: serverId, source});
-			return;
 		}
 
-		if (stated === requestsPerSecond) {
+		isRateReadable = stated !== undefined;
+		if (stated === undefined || stated === requestsPerSecond) {
 			return;
 		}
 
@@ -91,6 +92,7 @@
 		reset() {
 			isLeaving = false;
 			isKnown = false;
+			isRateReadable = true;
 			requestsPerSecond = Number.POSITIVE_INFINITY;
 		},
 	};
