Keep the slots of a server whose first response comes while it counts as unreachable

If it came while the server counted as unreachable, after a health path that did not respond, the slots became zero and stayed so: the gate accepted requests again and refused each as too late, until the server was restarted.

Cause: usable slots were taken from whether the server is available now, which ends by itself, instead of from its state, whose changes are told. They depend on the state only now; an unreachable server still gets nothing, since its gate does not accept.

Found by reading the change. Before: the request after the pause is refused (relay/gate, new test); after: answered.

--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -339,8 +339,7 @@
 	}
 
 	function applyUsableSlots(): void {
-		const slots = isAccepting() ? localServer.usableSlots() : 0;
-		queue.changeSlots(slots);
+		queue.changeSlots(leaving ? 0 : localServer.usableSlots());
 	}
 
 	return {
--- a/src/relay/local-server.ts
+++ b/src/relay/local-server.ts
@@ -40,7 +40,7 @@
 	/** Whether the server is ready and reachable. */
 	readonly isAvailable: () => boolean;
 	/**
-	 * How many of its slots may be used. Before its first response it may have a limit that this node
+	 * How many of its slots may be used; zero unless it is ready. Before its first response it may have a limit that this node
 	 * does not know yet, and gets one request.
 	 */
 	readonly usableSlots: () => number;
@@ -116,15 +116,11 @@
 		});
 	}
 
-	function isAvailable(): boolean {
-		return record?.state === serverStates.ready && now() >= unreachableUntil;
-	}
-
 	return {
 		record: () => record,
-		isAvailable,
+		isAvailable: () => record?.state === serverStates.ready && now() >= unreachableUntil,
 		usableSlots() {
-			if (record === undefined || !isAvailable()) {
+			if (record?.state !== serverStates.ready) {
 				return 0;
 			}
 
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -19,8 +19,12 @@
 
 const silent = (): void => undefined;
 
-/** A gate without health probes in front of a server. */
-async function startGate(context: TestContext, handle: RequestListener) {
+/** A gate in front of a server, by default without health probes. */
+async function startGate(
+	context: TestContext,
+	handle: RequestListener,
+	probesPerSecond = 0,
+) {
 	const server = createServer(handle);
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
@@ -35,7 +39,7 @@
 		inboundLink: createInboundLink(1000),
 		maximumConnections: 10,
 		healthPath: () => '/health',
-		probesPerSecond: 0,
+		probesPerSecond,
 		retryPolicy: {ratio: 0.2, slack: 10, windowMilliseconds: 10_000},
 		countGates: () => 1,
 		onSlotsChanged: silent,
@@ -151,3 +155,54 @@
 	);
 	expect(state.most).toEqual(4);
 });
+
+test('a first response that comes while the server counts as unreachable leaves it its slots', async context => {
+	const state: {isHealthSilent: boolean; respondToFirst?: () => void} = {
+		isHealthSilent: false,
+	};
+	const gate = await startGate(
+		context,
+		(request, response) => {
+			if (request.url !== '/health') {
+				const finish = (): void => {
+					respond(request, response);
+				};
+
+				if (state.respondToFirst) {
+					finish();
+				}
+
+				state.respondToFirst ??= finish;
+				return;
+			}
+
+			// The health path says nothing of the server, or does not respond at all.
+			if (!state.isHealthSilent) {
+				response.end();
+			}
+		},
+		50,
+	);
+	const question = {...createAttempt(1).call, bodyBytes: 0};
+	const first = gate.run(createAttempt(1)).result;
+	while (state.respondToFirst === undefined) {
+		await sleep(5);
+	}
+
+	state.isHealthSilent = true;
+	while (gate.state().accepting) {
+		await sleep(20);
+		await gate.report(question);
+	}
+
+	state.respondToFirst();
+	const answered = await first;
+	expect(answered.kind).toEqual(attemptResultKinds.answered);
+	state.isHealthSilent = false;
+	while (!gate.state().accepting) {
+		await sleep(20);
+	}
+
+	const later = await gate.run(createAttempt(2)).result;
+	expect(later.kind).toEqual(attemptResultKinds.answered);
+});
