Recognize teams by their keys and keep requests in their homes: types, headers, first admission

Cause: callers' keys were passed on to servers, and routes with homes were served in any region. Change: the configuration's teams, homes, public routes and the rate that cold servers bear are decoded; the key is removed at the node where the request enters and the team's name is added at the gate; the placer considers only members in the homes that route and team both allow. Kinds of requests with large responses may run more than once.

--- a/src/call/refusal.ts
+++ b/src/call/refusal.ts
@@ -8,6 +8,10 @@
 export const refusalKinds = {
 	malformed: 'malformed',
 	unknownService: 'unknown-service',
+	/** The caller's credential belongs to no team. */
+	unknownTeam: 'unknown-team',
+	/** Its team has used what it may use. */
+	teamLimit: 'team-limit',
 	keyMissing: 'key-missing',
 	keyInvalid: 'key-invalid',
 	keyExpired: 'key-expired',
@@ -44,6 +48,8 @@
 const statusCodes: Readonly<Record<RefusalKind, number>> = {
 	[refusalKinds.malformed]: 400,
 	[refusalKinds.unknownService]: 404,
+	[refusalKinds.unknownTeam]: 401,
+	[refusalKinds.teamLimit]: 429,
 	[refusalKinds.keyMissing]: 428,
 	[refusalKinds.keyInvalid]: 400,
 	[refusalKinds.keyExpired]: 410,
--- a/src/relay/active-routes.ts
+++ b/src/relay/active-routes.ts
@@ -5,10 +5,12 @@
 import type {Result} from 'neverthrow';
 import type {Logger} from '../log/index.js';
 import {createRouteIndex, type RouteIndex, type RouteTable} from '../routes/index.js';
+import {createTeamIndex, type TeamIndex} from '../teams/index.js';
 
 export type ActiveRoutes = {
 	readonly table: RouteTable;
 	readonly index: RouteIndex;
+	readonly teams: TeamIndex;
 	/** The document as received, for other nodes. */
 	readonly text: string;
 	/** Monotonic time in milliseconds. */
@@ -59,7 +61,13 @@
 				return false;
 			}
 
-			activeRoutes = {table, index: createRouteIndex(table), text, activeSince: now()};
+			activeRoutes = {
+				table,
+				index: createRouteIndex(table),
+				teams: createTeamIndex(table),
+				text,
+				activeSince: now(),
+			};
 			log.info('routes in force', {
 				version: table.version,
 				before,
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -30,6 +30,10 @@
 	/** Monotonic time in milliseconds. */
 	readonly deadlineAt: number;
 	readonly maximumAttempts: number;
+	/** Team of the caller; undefined for requests that need no key. */
+	readonly team: string | undefined;
+	/** Regions whose servers may run it; undefined if any may, empty if none may. */
+	readonly homes: readonly string[] | undefined;
 };
 
 /** One attempt to run a call at a gate. */
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -34,9 +34,12 @@
 	createRoundRobinState,
 	findRoute,
 	type Route,
+	type Team,
 } from '../routes/index.js';
+import {combineHomes} from '../teams/index.js';
 import type {InboundLink} from '../waiting/index.js';
 import type {RelayCall} from './call.js';
+import type {AdmitCaller, SpendAllowance} from './caller-admission.js';
 import type {RunRelayCall} from './call-runner.js';
 import type {CallerRequestMetadata, PlatformProtocol} from './platform-protocol.js';
 import {receiveBody} from './receive-body.js';
@@ -47,6 +50,10 @@
 	readonly log: Logger;
 	readonly routes: () => ActiveRoutes | undefined;
 	readonly run: RunRelayCall;
+	/** Decides whether a request may enter, from its route and what it says of its caller. */
+	readonly admitCaller: AdmitCaller;
+	/** Spends from the allowance of the request's team, if it has one. */
+	readonly spendAllowance: SpendAllowance;
 	/** Service of the local server, given as the origin of the calls. */
 	readonly service: string;
 	/** Whether the local server runs the request that made the one with this id. */
@@ -165,28 +172,57 @@
 			return;
 		}
 
+		const nested = options.isParentRunning(metadata.requestId ?? '');
+		const claim = {route, key: metadata.teamKey, nested};
+		const admission = options.admitCaller(activeRoutes, claim, now());
+		if (admission.isErr()) {
+			refuse(response, metadata, admission.error);
+			return;
+		}
+
+		const team = admission.value;
 		receiveBody(request, options.inboundLink, body => {
-			if (!response.closed) {
-				start(request, response, {metadata, route, arrivedAt, body}, activeRoutes);
+			if (response.closed) {
+				return;
 			}
+
+			const received = {metadata, route, arrivedAt, body, nested, team};
+			const call = createCall(request, received, activeRoutes);
+			void admitCall(response, call, received, activeRoutes);
 		});
 	}
 
-	function start(
-		request: IncomingMessage,
+	/** Starts a call once its team's allowance covers it. */
+	async function admitCall(
 		response: ServerResponse,
+		call: RelayCall,
 		received: ReceivedRequest,
 		activeRoutes: ActiveRoutes,
+	): Promise<void> {
+		const {metadata, team} = received;
+		const refusal = team && (await options.spendAllowance(team, call));
+		if (response.closed) {
+			return;
+		}
+
+		if (refusal) {
+			refuse(response, metadata, refusal);
+			return;
+		}
+
+		start(response, call, metadata, activeRoutes);
+	}
+
+	function start(
+		response: ServerResponse,
+		call: RelayCall,
+		metadata: CallerRequestMetadata,
+		activeRoutes: ActiveRoutes,
 	): void {
-		const call = createCall(request, received);
 		if (call.deadlineAt > stopsAt) {
 			const message = 'this node is stopping: send the request to another node';
 			const delay = leavingRetryMilliseconds;
-			refuse(
-				response,
-				received.metadata,
-				createRefusal(refusalKinds.leaving, message, delay),
-			);
+			refuse(response, metadata, createRefusal(refusalKinds.leaving, message, delay));
 			return;
 		}
 
@@ -205,12 +241,17 @@
 		response.once('close', running.cancel);
 		void running.result.then(result => {
 			response.removeListener('close', running.cancel);
-			finish(response, call, received.metadata, result);
+			finish(response, call, metadata, result);
 		});
 	}
 
-	function createCall(request: IncomingMessage, received: ReceivedRequest): RelayCall {
-		const {metadata, route, arrivedAt, body} = received;
+	function createCall(
+		request: IncomingMessage,
+		received: ReceivedRequest,
+		activeRoutes: ActiveRoutes,
+	): RelayCall {
+		const {metadata, route, arrivedAt, body, nested, team} = received;
+		const headers = copyEndToEndHeaders(request.rawHeaders);
 		const timeout = metadata.timeoutMilliseconds ?? Number.POSITIVE_INFINITY;
 		return {
 			requestId: metadata.requestId ?? '',
@@ -218,17 +259,21 @@
 			service: chooseService(roundRobin, route),
 			method: request.method!,
 			path: request.url!,
-			headers: copyEndToEndHeaders(request.rawHeaders),
+			headers: activeRoutes.teams.isRequired
+				? protocol.removeTeamHeaders(headers)
+				: headers,
 			body,
 			originService: options.service,
-			rank: route.rank,
+			rank: team?.rank ?? route.rank,
 			idempotent: route.idempotent,
-			nested: options.isParentRunning(metadata.requestId ?? ''),
+			nested,
 			targetMilliseconds: route.targetMilliseconds,
 			arrivedAt,
 			targetAt: arrivedAt + route.targetMilliseconds,
 			deadlineAt: arrivedAt + Math.min(timeout, route.timeoutMilliseconds),
 			maximumAttempts: route.maximumAttempts,
+			team: team?.name,
+			homes: combineHomes(route.homes, team?.homes ?? []),
 		};
 	}
 
@@ -364,4 +409,7 @@
 	/** Monotonic time in milliseconds. */
 	readonly arrivedAt: number;
 	readonly body: Body;
+	/** Whether a running request made it. */
+	readonly nested: boolean;
+	readonly team: Team | undefined;
 };
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -15,6 +15,7 @@
 import {isIsolated, isPoller, type Membership} from '../membership/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {PlatformAdapter} from './adapter.js';
+import {createCallerAdmission} from './caller-admission.js';
 import {createRelayRunner} from './call-runner.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
 import {createRelayGate} from './gate.js';
@@ -155,6 +156,8 @@
 			random: Math.random,
 			wallClock: Date.now,
 		}),
+		admitCaller: createCallerAdmission({isRecent: () => true}),
+		spendAllowance: async () => undefined,
 		service: server.service,
 		isParentRunning: gate.isParentRunning,
 		inboundLink,
--- a/src/relay/peer-headers.ts
+++ b/src/relay/peer-headers.ts
@@ -19,6 +19,10 @@
 	figures: 'foxtailtide-figures',
 	/** One letter for each flag that is set. */
 	flags: 'foxtailtide-flags',
+	/** Absent without a team. */
+	team: 'foxtailtide-team',
+	/** Regions, separated by commas; absent if any may run the request. */
+	homes: 'foxtailtide-homes',
 } as const;
 
 const flags = {idempotent: 'i', nested: 'n', retry: 'r'} as const;
@@ -60,6 +64,8 @@
 		figures.join(','),
 		names.flags,
 		letters.join(''),
+		...(call.team === undefined ? [] : [names.team, call.team]),
+		...(call.homes === undefined ? [] : [names.homes, call.homes.join(',')]),
 	];
 }
 
@@ -115,6 +121,12 @@
 			targetAt: now + target!,
 			deadlineAt: now + deadline,
 			maximumAttempts: maximumAttempts ?? 1,
+			team: findHeader(head.rawHeaders, names.team),
+			homes: parseHomes(findHeader(head.rawHeaders, names.homes)),
 		},
 	};
 }
+
+function parseHomes(homes: string | undefined): readonly string[] | undefined {
+	return homes?.split(',').filter(home => home !== '');
+}
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -17,6 +17,7 @@
 	type ScoredCandidate,
 } from '../placing/index.js';
 import {isBuffered} from '../call/index.js';
+import {isHome} from '../teams/index.js';
 import type {RelayCall} from './call.js';
 import type {LoadQuestion, RelayGate} from './gate-types.js';
 import type {TimedGateReport, GateSocket} from './gate-socket.js';
@@ -205,7 +206,10 @@
 		async orderGates(call, excluded) {
 			const members = options
 				.membersOf(call.service)
-				.filter(({status}) => status === memberStatuses.alive);
+				.filter(
+					({status, region}) =>
+						status === memberStatuses.alive && isHome(call.homes, region),
+				);
 			const hasSameRegion = members.some(member => isSameRegion(member, location));
 			const candidates = orderForQueries(
 				members
--- a/src/relay/platform-protocol.ts
+++ b/src/relay/platform-protocol.ts
@@ -10,6 +10,8 @@
 	readonly requestId: string | undefined;
 	/** How long the caller waits; undefined if not given. */
 	readonly timeoutMilliseconds: number | undefined;
+	/** Key of the caller's team; undefined if not given. */
+	readonly teamKey: string | undefined;
 };
 
 /** What a server states about itself in each of its responses, also those of its health path. */
@@ -47,18 +49,24 @@
 	readonly slots: number | undefined;
 	/** Slowdown of the server's VM: current durations relative to the usual ones. */
 	readonly slowdown: number | undefined;
+	/** How long the server stays cold; zero while it is warm, undefined if not given. */
+	readonly coldMilliseconds: number | undefined;
 };
 
 /** What the relay adds to the request that it sends to a server. */
 export type ServerRequestMetadata = {
 	readonly serverId: string | undefined;
 	readonly originService: string;
+	/** Team of the caller; undefined without one. */
+	readonly team: string | undefined;
 	/** Time left until the deadline. */
 	readonly remainingMilliseconds: number;
 };
 
 export type PlatformProtocol = {
 	readonly readCallerHeaders: (headers: HeaderList) => CallerRequestMetadata;
+	/** Removes the key of a team, and the name of a team that only a node may state. */
+	readonly removeTeamHeaders: (headers: HeaderList) => HeaderList;
 	/** Headers for the server: the caller's own and those that the relay sets. */
 	readonly buildServerHeaders: (
 		headers: HeaderList,
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -52,6 +52,7 @@
 	serverId: undefined,
 	slots: undefined,
 	slowdown: undefined,
+	coldMilliseconds: undefined,
 	requestsPerSecond: undefined,
 	isLeaving: false,
 };
@@ -165,6 +166,7 @@
 		const metadata = {
 			serverId: target.id,
 			originService: call.originService,
+			team: call.team,
 			remainingMilliseconds: Math.max(1, Math.floor(call.deadlineAt - now())),
 		};
 		return startExchange({
--- a/src/routes/index.ts
+++ b/src/routes/index.ts
@@ -5,6 +5,7 @@
 	Route,
 	RouteTable,
 	ServiceConfiguration,
+	Team,
 	WeightedService,
 } from './route.js';
 export {
--- a/src/routes/route.ts
+++ b/src/routes/route.ts
@@ -29,6 +29,24 @@
 	readonly rank: number;
 	/** Number of servers to which one request may be sent, the first included. */
 	readonly maximumAttempts: number;
+	/** Regions whose servers may run its requests; empty if any may. */
+	readonly homes: readonly string[];
+	/** Whether its requests need no key of a team. */
+	readonly isPublic: boolean;
+};
+
+/** A team whose callers are recognized by their keys. */
+export type Team = {
+	readonly name: string;
+	readonly keys: readonly string[];
+	/** Urgency of its requests, in place of the rank of the route; undefined to keep the latter. */
+	readonly rank: number | undefined;
+	/** Regions whose servers may run its requests; empty if any may. */
+	readonly homes: readonly string[];
+	/** Limit on its requests over all nodes; infinite for none. */
+	readonly requestsPerSecond: number;
+	/** Requests beyond the rate that may come at once. */
+	readonly burst: number;
 };
 
 /** Properties of a service that hold for all of its servers. */
@@ -38,6 +56,8 @@
 	readonly healthPath: string;
 	/** Connections that one server accepts from all clients together. */
 	readonly maximumConnections: number;
+	/** Requests a second that a cold server bears; infinite if not given. */
+	readonly coldRequestsPerSecond: number;
 };
 
 /** Limits on the requests of callers. */
@@ -49,10 +69,12 @@
 	readonly idleTimeoutMilliseconds: number;
 };
 
-/** One version of the routes, the services and the limits on callers. */
+/** One version of the routes, the services, the teams and the limits on callers. */
 export type RouteTable = {
 	readonly version: number;
 	readonly routes: readonly Route[];
 	readonly services: readonly ServiceConfiguration[];
+	/** Empty if callers need no keys. */
+	readonly teams: readonly Team[];
 	readonly limits: CallerLimits;
 };
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -42,6 +42,7 @@
 	const sent = platformProtocol.buildServerHeaders(received, {
 		serverId: 'server-1',
 		originService: 'bookings',
+		team: undefined,
 		remainingMilliseconds: 250,
 	});
 	expect(sent).toEqual([
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -85,6 +85,8 @@
 			targetAt: at + 400,
 			deadlineAt: at + 2000,
 			maximumAttempts: 2,
+			team: undefined,
+			homes: undefined,
 		},
 	};
 }
--- a/test/relay/peer-client.test.ts
+++ b/test/relay/peer-client.test.ts
@@ -31,6 +31,8 @@
 			targetAt,
 			deadlineAt: now + 750,
 			maximumAttempts: 2,
+			team: undefined,
+			homes: undefined,
 		},
 	};
 }
--- a/test/relay/placer.test.ts
+++ b/test/relay/placer.test.ts
@@ -60,6 +60,8 @@
 		targetAt: now + 400,
 		deadlineAt: now + 1000,
 		maximumAttempts: 2,
+		team: undefined,
+		homes: undefined,
 	};
 }
 
--- a/test/relay/routes.test.ts
+++ b/test/relay/routes.test.ts
@@ -23,6 +23,7 @@
 				version: Number(text),
 				routes: [],
 				services: [],
+				teams: [],
 				limits: {
 					maximumHeaderBytes: 1,
 					maximumBodyBytes: 1,
--- a/test/routes/routes.test.ts
+++ b/test/routes/routes.test.ts
@@ -20,6 +20,8 @@
 		targetMilliseconds: 400,
 		rank: 1,
 		maximumAttempts: 2,
+		homes: [],
+		isPublic: false,
 		...patch,
 	};
 }
@@ -33,6 +35,7 @@
 const index = createRouteIndex({
 	version: 3,
 	services: [],
+	teams: [],
 	limits,
 	routes: [
 		createRoute('menus', '/menus/'),
