Keep the place of an attempt at a gate that is slow to acknowledge it

Cause: a log of such a run shows the gate queueing attempts 0.4 s after their ingress had sent them; 0.2 s later the ingress, which had waited 250 ms for the receipt, had them cancelled, and the gate withdrew what waited. With no other gate left the callers were refused. Ruled out: speed probes, the retry budget, deadlines. Change: the ingress asks for the cancellation of an attempt only if it has not arrived. If the gate has it, the gate is alive and the attempt keeps its place; an idempotent one counts as lost only after its latency target, as one that was dispatched does already. Test: 'a waiting attempt keeps its place ...' fails with a plain cancellation, as sent before. Also: the test in the red list prints the log lines of requests that were not served.

--- a/src/relay/gate-socket.ts
+++ b/src/relay/gate-socket.ts
@@ -17,7 +17,7 @@
 	readonly now: () => number;
 	/** Answers load queries for this node's gate. */
 	readonly report: (question: LoadQuestion) => Promise<GateReport>;
-	readonly cancelAttempt: (id: AttemptId) => boolean;
+	readonly cancelAttempt: (id: AttemptId, keepWaiting: boolean) => boolean;
 	/** Incarnation of this node. */
 	readonly incarnation: number;
 	/** Spends from the measuring budget; false if the datagram must not be sent. */
@@ -35,15 +35,24 @@
 		question: LoadQuestion,
 		timeoutMilliseconds: number,
 	) => Promise<TimedGateReport | undefined>;
-	/** Asks a gate to cancel an attempt; true if it was never dispatched, undefined on a timeout. */
+	/**
+	 * Asks a gate to cancel an attempt, unless it waits and is to be kept; true if it never was and
+	 * never will be dispatched, undefined on a timeout.
+	 */
 	readonly requestCancellation: (
 		gate: GateAddress & {readonly incarnation: number},
 		id: AttemptId,
-		timeoutMilliseconds: number,
+		options: CancellationOptions,
 	) => Promise<boolean | undefined>;
 	readonly close: () => void;
 };
 
+export type CancellationOptions = {
+	/** Whether an attempt that has arrived and waits is left alone. */
+	readonly keepWaiting: boolean;
+	readonly timeoutMilliseconds: number;
+};
+
 type PendingQuery = {
 	readonly resolve: (datagram: GateDatagram | undefined) => void;
 	readonly timer: NodeJS.Timeout;
@@ -161,8 +170,8 @@
 				roundTripMilliseconds: options.now() - sentAt,
 			};
 		},
-		async requestCancellation(gate, id, timeoutMilliseconds) {
-			const cancelQuestion = {...id, incarnation: gate.incarnation};
+		async requestCancellation(gate, id, {keepWaiting, timeoutMilliseconds}) {
+			const cancelQuestion = {...id, incarnation: gate.incarnation, keepWaiting};
 			const body: Body = {$case: 'cancelQuestion', value: cancelQuestion};
 			const answer = await sendQuery(gate, body, timeoutMilliseconds);
 			return answer?.body?.$case === 'cancelAnswer'
@@ -196,10 +205,11 @@
 	}
 
 	if (body.$case === 'cancelQuestion') {
-		const {ingress, sequence, incarnation} = body.value;
+		const {ingress, sequence, incarnation, keepWaiting} = body.value;
 		// Another incarnation of this node knows nothing of the attempt, so it proves nothing.
 		const neverDispatched =
-			incarnation === options.incarnation && options.cancelAttempt({ingress, sequence});
+			incarnation === options.incarnation &&
+			options.cancelAttempt({ingress, sequence}, keepWaiting);
 		return Promise.resolve({$case: 'cancelAnswer', value: {neverDispatched}});
 	}
 
--- a/src/relay/gate-types.ts
+++ b/src/relay/gate-types.ts
@@ -66,8 +66,11 @@
 	readonly run: (attempt: RelayAttempt) => RunningAttempt;
 	/** Estimates wait and duration of a request, once the server's speed is known. */
 	readonly report: (question: LoadQuestion) => Promise<GateReport>;
-	/** Cancels an attempt; true only if it never was and never will be dispatched. */
-	readonly cancelAttempt: (id: AttemptId) => boolean;
+	/**
+	 * Cancels an attempt, unless it waits and is to be kept; true only if it never was and never will
+	 * be dispatched.
+	 */
+	readonly cancelAttempt: (id: AttemptId, keepWaiting: boolean) => boolean;
 	/** Looks for the server through its health path, unless it is known already. */
 	readonly discoverServer: () => void;
 	readonly handleAnnouncement: (announcement: ServerAnnouncement) => AnnouncementVerdict;
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -371,8 +371,12 @@
 				failureShare: currentFailureShare(failureRate, now()),
 			};
 		},
-		cancelAttempt(id) {
+		cancelAttempt(id, keepWaiting) {
 			const entry = entries.get(formatAttemptId(id));
+			if (entry && keepWaiting) {
+				return false;
+			}
+
 			const cancellation = cancelAttempt(attempts, id);
 			if (cancellation === cancellationResults.withdrawn && entry) {
 				cancel(entry);
--- a/src/relay/peer-client.ts
+++ b/src/relay/peer-client.ts
@@ -1,8 +1,8 @@
 /**
  * Sends attempts to the gates of other nodes over keep-alive connections. A gate acknowledges an
  * attempt at once. Without an acknowledgement the connection may be dead, and the gate is asked by
- * datagram to cancel the attempt. If it answers that the attempt was dispatched, the gate is alive,
- * and the attempt counts as lost only once its latency target has passed.
+ * datagram to cancel the attempt unless it has arrived. If it has, the gate is alive but slow, the
+ * attempt keeps its place there, and it counts as lost only once its latency target has passed.
  */
 import {Agent} from 'node:http';
 import {
@@ -136,11 +136,10 @@
 			incarnation: member.incarnation,
 		};
 		const timeout = cancellationTimeoutMilliseconds + 2 * roundTripMilliseconds;
-		const neverDispatched = await options.socket.requestCancellation(
-			gate,
-			attempt.id,
-			timeout,
-		);
+		const neverDispatched = await options.socket.requestCancellation(gate, attempt.id, {
+			keepWaiting: true,
+			timeoutMilliseconds: timeout,
+		});
 		log.warn('gate gave no receipt', {
 			request: attempt.call.requestId,
 			gate: member.nodeId,
@@ -193,6 +192,6 @@
 		kind: attemptResultKinds.lost,
 		message: 'the gate did not acknowledge the attempt',
 	};
-	const isDispatched = neverDispatched === false;
-	return {result, waitMilliseconds: isDispatched ? Math.max(0, call.targetAt - now) : 0};
+	const hasArrived = neverDispatched === false;
+	return {result, waitMilliseconds: hasArrived ? Math.max(0, call.targetAt - now) : 0};
 }
--- a/test/process/relay-bad-input.test.ts
+++ b/test/process/relay-bad-input.test.ts
@@ -66,7 +66,12 @@
 		GateDatagram.encode({sequence: 1, body: {$case: 'loadQuestion', value}}).finish(),
 	);
 const cancelQuestion = fc
-	.record({ingress: fc.string(), sequence: extremeNumber, incarnation: extremeNumber})
+	.record({
+		ingress: fc.string(),
+		sequence: extremeNumber,
+		incarnation: extremeNumber,
+		keepWaiting: fc.boolean(),
+	})
 	.map(value =>
 		GateDatagram.encode({sequence: 1, body: {$case: 'cancelQuestion', value}}).finish(),
 	);
--- a/test/process/relay.test.ts
+++ b/test/process/relay.test.ts
@@ -24,6 +24,13 @@
 			}),
 		),
 	);
+	const unserved = new Set(ids.filter((_, index) => answers[index]!.status !== 200));
+	for (const line of nodes.flatMap(({logs}) => logs)) {
+		if (unserved.has(String(line.request))) {
+			console.log(JSON.stringify(line));
+		}
+	}
+
 	expect(answers.map(({status}) => status)).toEqual(ids.map(() => 200));
 	expect(answers.map(({body}) => body)).toEqual(ids.map(id => `answer to ${id}`));
 	const seen = nodes.flatMap(({server}) => server.receivedRequests);
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -208,3 +208,18 @@
 	const later = await gate.run(createAttempt(2)).result;
 	expect(later.kind).toEqual(attemptResultKinds.answered);
 });
+
+test('a waiting attempt keeps its place when its ingress only asks whether it arrived', async context => {
+	const gate = await startGate(context, (request, response) => {
+		setTimeout(() => {
+			respond(request, response);
+		}, 50);
+	});
+	const running = Array.from({length: 12}, (_, index) =>
+		gate.run(createAttempt(index + 1)),
+	);
+	const last = createAttempt(12).id;
+	expect(gate.cancelAttempt(last, true)).toEqual(false);
+	const settled = await running.at(-1)!.result;
+	expect(settled.kind).toEqual(attemptResultKinds.answered);
+});
