Dispatch no waiting request that cannot be served before its deadline

Cause: a free slot went to the next waiting request as long as its deadline had not passed; with less time left than the server takes, the run is wasted and the caller cannot be told what became of it. The offer already refuses by the estimated service time, the assignment did not. Change: the assignment refuses by the same estimate. Test: 'a request that can no longer be served ...' fails before.

--- a/src/admission/slot-assignment.ts
+++ b/src/admission/slot-assignment.ts
@@ -36,8 +36,13 @@
 		}
 
 		state.waiting.delete(request.id);
-		if (request.deadlineAt <= now) {
-			refused.push(describeRefused(state, request.id, refusalReasons.expired));
+		const reason = findLateness(
+			request,
+			state.ranks[rankIndex]!.serviceMilliseconds,
+			now,
+		);
+		if (reason !== undefined) {
+			refused.push(describeRefused(state, request.id, reason));
 			continue;
 		}
 
@@ -49,6 +54,19 @@
 	return {dispatch, refused};
 }
 
+/** Finds why a request can no longer be answered in time; undefined if it can. */
+function findLateness(
+	{deadlineAt}: {readonly deadlineAt: number},
+	serviceMilliseconds: number,
+	now: number,
+): RefusalReason | undefined {
+	if (deadlineAt <= now) {
+		return refusalReasons.expired;
+	}
+
+	return now + serviceMilliseconds > deadlineAt ? refusalReasons.tooLate : undefined;
+}
+
 /**
  * Returns the key by which a request is queued within its rank: its caller, or one key for all
  * callers when fairness is off.
--- a/test/admission/ranks.test.ts
+++ b/test/admission/ranks.test.ts
@@ -167,6 +167,15 @@
 	expect(release(state, 'running', end, 60).refused).toEqual([]);
 });
 
+test('a request that can no longer be served before its deadline is refused, not dispatched', () => {
+	const state = createAdmission(policy, 1);
+	offer(state, request('running', 'normal'), 0);
+	offer(state, request('late', 'normal', {deadlineAt: 95}), 0);
+	offer(state, request('in time', 'normal', {deadlineAt: 400}), 0);
+	const {dispatch, refused} = release(state, 'running', end, 90);
+	expect([dispatch, refused.map(({id}) => id)]).toEqual([['in time'], ['late']]);
+});
+
 test('a preset switch keeps the waiting requests', () => {
 	const state = createAdmission(policy, 1);
 	offer(state, request('running', 'normal'), 0);
