Count requests made by retries against the retry budget of the service that they call

Cause: a request that is run again makes its calls again. These count as retries at the service that they call, but their gate took them for first attempts: they used no budget and even raised it. Change: the node beside the parent's server knows whether the parent is a retry, or was made by one, and says so with the call; the gate records it as a retry without refusing it, and real retries get what is left. Test: 'requests made by retries leave less room for retries'.

--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -22,6 +22,8 @@
 	readonly idempotent: boolean;
 	/** Whether a running request waits for it. */
 	readonly nested: boolean;
+	/** Whether a retry made it, so that it counts as a retry at its own service too. */
+	readonly repeated: boolean;
 	readonly targetMilliseconds: number;
 	/** Monotonic time in milliseconds. */
 	readonly arrivedAt: number;
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -41,6 +41,7 @@
 import type {RelayCall} from './call.js';
 import type {AdmitCaller, SpendAllowance} from './caller-admission.js';
 import type {RunRelayCall} from './call-runner.js';
+import type {ParentRequest, RelayGate} from './gate-types.js';
 import type {CallerRequestMetadata, PlatformProtocol} from './platform-protocol.js';
 import {receiveBody} from './receive-body.js';
 import type {ActiveRoutes} from './active-routes.js';
@@ -56,8 +57,8 @@
 	readonly spendAllowance: SpendAllowance;
 	/** Service of the local server, given as the origin of the calls. */
 	readonly service: string;
-	/** Whether the local server runs the request that made the one with this id. */
-	readonly isParentRunning: (requestId: string) => boolean;
+	/** Finds the request at the local server that made the one with this id. */
+	readonly findParent: RelayGate['findParent'];
 	/** The link over which bodies reach this VM. */
 	readonly inboundLink: InboundLink;
 	/** Monotonic time in milliseconds. */
@@ -172,7 +173,8 @@
 			return;
 		}
 
-		const nested = options.isParentRunning(metadata.requestId ?? '');
+		const parent = options.findParent(metadata.requestId ?? '');
+		const nested = parent !== undefined;
 		const claim = {route, key: metadata.teamKey, nested};
 		const admission = options.admitCaller(activeRoutes, claim, now());
 		if (admission.isErr()) {
@@ -186,7 +188,7 @@
 				return;
 			}
 
-			const received = {metadata, route, arrivedAt, body, nested, team};
+			const received = {metadata, route, arrivedAt, body, parent, team};
 			const call = createCall(request, received, activeRoutes);
 			void admitCall(response, call, received, activeRoutes);
 		});
@@ -250,7 +252,7 @@
 		received: ReceivedRequest,
 		activeRoutes: ActiveRoutes,
 	): RelayCall {
-		const {metadata, route, arrivedAt, body, nested, team} = received;
+		const {metadata, route, arrivedAt, body, parent, team} = received;
 		const headers = copyEndToEndHeaders(request.rawHeaders);
 		const timeout = metadata.timeoutMilliseconds ?? Number.POSITIVE_INFINITY;
 		return {
@@ -266,7 +268,8 @@
 			originService: options.service,
 			rank: team?.rank ?? route.rank,
 			idempotent: route.idempotent,
-			nested,
+			nested: parent !== undefined,
+			repeated: parent?.isRepeated ?? false,
 			targetMilliseconds: route.targetMilliseconds,
 			arrivedAt,
 			targetAt: arrivedAt + route.targetMilliseconds,
@@ -409,7 +412,7 @@
 	/** Monotonic time in milliseconds. */
 	readonly arrivedAt: number;
 	readonly body: Body;
-	/** Whether a running request made it. */
-	readonly nested: boolean;
+	/** The running request that made it, if any. */
+	readonly parent: ParentRequest | undefined;
 	readonly team: Team | undefined;
 };
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -159,7 +159,7 @@
 		admitCaller: createCallerAdmission({isRecent: () => true}),
 		spendAllowance: async () => undefined,
 		service: server.service,
-		isParentRunning: gate.isParentRunning,
+		findParent: gate.findParent,
 		inboundLink,
 		now,
 		onCallEnd(end) {
--- a/src/relay/gate-types.ts
+++ b/src/relay/gate-types.ts
@@ -51,6 +51,12 @@
 	readonly onAttemptEnd: (end: string, milliseconds: number) => void;
 };
 
+/** A running request that made another one. */
+export type ParentRequest = {
+	/** Whether it is a retry, or was made by one. */
+	readonly isRepeated: boolean;
+};
+
 export type RelayGateState = {
 	readonly server: ServerRecord | undefined;
 	readonly accepting: boolean;
@@ -76,8 +82,8 @@
 	readonly handleAnnouncement: (announcement: ServerAnnouncement) => AnnouncementVerdict;
 	/** Handles the deregistration of the server with this id; false if it is another server. */
 	readonly deregisterServer: (id: string) => boolean;
-	/** Whether a request that runs here made the one with this id. */
-	readonly isParentRunning: (requestId: string) => boolean;
+	/** Finds the request running here that made the one with this id; undefined if none did. */
+	readonly findParent: (requestId: string) => ParentRequest | undefined;
 	/** Refuses new requests from now on. */
 	readonly drain: () => void;
 	readonly state: () => RelayGateState;
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -25,7 +25,12 @@
 	recordAttemptResult,
 	type FailureRate,
 } from '../placing/index.js';
-import {recordFirstAttempt, createRetryBudget, trySpendRetry} from '../repeats/index.js';
+import {
+	createRetryBudget,
+	recordFirstAttempt,
+	recordRepeatedCall,
+	trySpendRetry,
+} from '../repeats/index.js';
 import {
 	chooseRetryAfter,
 	estimateTransferTime,
@@ -176,7 +181,8 @@
 		}
 
 		if (!isRetry) {
-			recordFirstAttempt(retryBudget, options.retryPolicy, now());
+			const record = call.repeated ? recordRepeatedCall : recordFirstAttempt;
+			record(retryBudget, options.retryPolicy, now());
 		}
 
 		offer(entry);
@@ -394,14 +400,15 @@
 		},
 		handleAnnouncement: localServer.handleAnnouncement,
 		deregisterServer: localServer.deregister,
-		isParentRunning(requestId) {
+		findParent(requestId) {
 			for (const entry of entries.values()) {
 				if (isParentOf(entry, requestId)) {
-					return true;
+					const {isRetry, call} = entry.attempt;
+					return {isRepeated: isRetry || call.repeated};
 				}
 			}
 
-			return false;
+			return undefined;
 		},
 		drain() {
 			leaving = true;
--- a/src/relay/peer-headers.ts
+++ b/src/relay/peer-headers.ts
@@ -25,7 +25,7 @@
 	homes: 'foxtailtide-homes',
 } as const;
 
-const flags = {idempotent: 'i', nested: 'n', retry: 'r'} as const;
+const flags = {idempotent: 'i', nested: 'n', repeated: 'p', retry: 'r'} as const;
 
 /**
  * Builds the headers of an attempt.
@@ -46,6 +46,7 @@
 	const letters = [
 		call.idempotent ? flags.idempotent : '',
 		call.nested ? flags.nested : '',
+		call.repeated ? flags.repeated : '',
 		attempt.isRetry ? flags.retry : '',
 	];
 	return [
@@ -116,6 +117,7 @@
 			rank: rank!,
 			idempotent: letters.includes(flags.idempotent),
 			nested: letters.includes(flags.nested),
+			repeated: letters.includes(flags.repeated),
 			targetMilliseconds: targetMilliseconds!,
 			arrivedAt: now,
 			targetAt: now + target!,
--- a/src/repeats/index.ts
+++ b/src/repeats/index.ts
@@ -2,6 +2,7 @@
 export {
 	createRetryBudget,
 	recordFirstAttempt,
+	recordRepeatedCall,
 	trySpendRetry,
 	type RetryBudget,
 	type RetryPolicy,
--- a/src/repeats/retry-budget.ts
+++ b/src/repeats/retry-budget.ts
@@ -25,8 +25,8 @@
 };
 
 /**
- * Share of the limit that is used. The rest covers calls made by retried requests, which count as
- * retries at the services that they call, and gates that join or leave meanwhile.
+ * Share of the limit that is used. The rest covers requests made by retries, which are not refused,
+ * and gates that join or leave meanwhile.
  */
 const usedShare = 0.6;
 
@@ -51,6 +51,23 @@
 	budget.firstAttempts.push(now);
 }
 
+/**
+ * Records a request made by a retry. It counts as a retry, but is not refused for that: the work of
+ * the request that made it would be lost.
+ *
+ * @param budget changed in place
+ * @param policy the limit for the service
+ * @param now monotonic time in milliseconds
+ */
+export function recordRepeatedCall(
+	budget: RetryBudget,
+	policy: RetryPolicy,
+	now: number,
+): void {
+	dropBefore(budget, now - policy.windowMilliseconds);
+	budget.retries.push(now);
+}
+
 /**
  * Admits and records one retry, if this gate's part of the limit allows it.
  *
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -80,6 +80,7 @@
 			rank: 1,
 			idempotent: true,
 			nested: false,
+			repeated: false,
 			targetMilliseconds: 400,
 			arrivedAt: at,
 			targetAt: at + 400,
--- a/test/relay/peer-client.test.ts
+++ b/test/relay/peer-client.test.ts
@@ -26,6 +26,7 @@
 			rank: 1,
 			idempotent,
 			nested: false,
+			repeated: false,
 			targetMilliseconds: 400,
 			arrivedAt: now - 250,
 			targetAt,
--- a/test/relay/placer.test.ts
+++ b/test/relay/placer.test.ts
@@ -55,6 +55,7 @@
 		rank: 1,
 		idempotent: false,
 		nested: false,
+		repeated: false,
 		targetMilliseconds: 400,
 		arrivedAt: now,
 		targetAt: now + 400,
--- a/test/repeats/retry-budget.test.ts
+++ b/test/repeats/retry-budget.test.ts
@@ -5,6 +5,7 @@
 import {
 	createRetryBudget,
 	recordFirstAttempt,
+	recordRepeatedCall,
 	trySpendRetry,
 	type RetryPolicy,
 } from '../../src/repeats/index.js';
@@ -41,3 +42,27 @@
 	const budget = createRetryBudget();
 	expect(trySpendRetry(budget, policy, 6, 0)).toEqual(true);
 });
+
+test('requests made by retries leave less room for retries', () => {
+	const random = createRandom(seed);
+	const gates = Array.from({length: 6}, createRetryBudget);
+	const counts = {firstAttempts: 0, repeated: 0};
+	for (let now = 0; now < 10_000; now += 20) {
+		const gate = gates[Math.floor(random() * gates.length)]!;
+		counts.firstAttempts += 1;
+		recordFirstAttempt(gate, policy, now);
+		const called = gates[Math.floor(random() * gates.length)]!;
+		if (random() < 0.15) {
+			counts.repeated += 1;
+			recordRepeatedCall(called, policy, now);
+		}
+
+		trySpendRetry(called, policy, gates.length, now);
+	}
+
+	const arrivals = gates.reduce((sum, {retries}) => sum + retries.length, 0);
+	expect(counts.repeated).toBeGreaterThan(50);
+	expect(arrivals).toBeLessThanOrEqual(
+		policy.ratio * counts.firstAttempts + policy.slack,
+	);
+});
