Limit the starts at a cold server to the rate that it bears

Cause: servers that come back cold, or turn cold at any moment, fail well above a rate that the configuration of their service states. The gate started them at the full rate of a warm server.

Change: the start rate takes the lower of the limit that the server names and the one that it bears while it is cold. Heartbeats prolong the time for which a server is cold, health responses set it. When the limit falls, waiting requests that cannot start in time are refused at once, with a pause.

--- a/src/relay/gate-queue.ts
+++ b/src/relay/gate-queue.ts
@@ -4,14 +4,18 @@
  */
 import {
 	assignSlots,
+	changeColdLimit,
 	changeSlots,
 	changeStartRate,
 	createQueue,
 	currentSlowdown,
+	findHopeless,
 	finishRequest,
 	offerOutcomes,
 	offerRequest,
+	recordCold,
 	withdrawRequest,
+	type ColdStatement,
 	type GateRequest,
 	type OfferResult,
 	type QueueState,
@@ -26,8 +30,11 @@
 	readonly refreshSpeed: () => Promise<void>;
 	/** Called for each request that starts now. */
 	readonly onStart: (id: string) => void;
-	/** Called for each waiting request that no longer has time. */
-	readonly onTooLate: (id: string) => void;
+	/**
+	 * Called for each waiting request that no longer has time, with how long it would have waited if
+	 * that is the reason.
+	 */
+	readonly onTooLate: (id: string, waitMilliseconds?: number) => void;
 };
 
 export type GateQueue = {
@@ -43,6 +50,10 @@
 	readonly changeSlots: (slots: number) => void;
 	/** Sets the limit on the request rate; infinite for none. */
 	readonly changeRequestRate: (requestsPerSecond: number) => void;
+	/** Sets the limit on the request rate of a cold server; infinite for none. */
+	readonly changeColdRate: (requestsPerSecond: number) => void;
+	/** Records that the server is cold, and for how long. */
+	readonly recordCold: (statement: ColdStatement) => void;
 	/** Forgets what was learned of the server, and keeps the requests. */
 	readonly resetServer: (warmupMilliseconds: number) => void;
 	/** Lists the figures of the queue for the log. */
@@ -110,6 +121,13 @@
 		}
 	}
 
+	function refuseHopeless(): void {
+		for (const {request, waitMilliseconds} of findHopeless(state, now())) {
+			state.waiting.delete(request.id);
+			options.onTooLate(request.id, waitMilliseconds);
+		}
+	}
+
 	return {
 		state: () => state,
 		offer(request) {
@@ -133,6 +151,17 @@
 		changeRequestRate(requestsPerSecond) {
 			changeStartRate(state.startRate, requestsPerSecond, now());
 		},
+		changeColdRate(requestsPerSecond) {
+			const limit = {coldRequestsPerSecond: requestsPerSecond};
+			changeColdLimit(state.startRate, limit, now());
+		},
+		recordCold(statement) {
+			const {requestsPerSecond} = state.startRate;
+			recordCold(state, statement, now());
+			if (state.startRate.requestsPerSecond < requestsPerSecond) {
+				refuseHopeless();
+			}
+		},
 		resetServer(warmupMilliseconds) {
 			const previous = state;
 			state = createQueue(previous.slots);
@@ -144,7 +173,9 @@
 				state.waiting.set(id, request);
 			}
 
-			state.speed.coldUntil = now() + warmupMilliseconds;
+			const {coldRequestsPerSecond} = previous.startRate;
+			changeColdLimit(state.startRate, {coldRequestsPerSecond}, now());
+			recordCold(state, {milliseconds: warmupMilliseconds, mayBeLate: false}, now());
 		},
 		describe: () => ({
 			running: state.running.size,
--- a/src/relay/local-server.ts
+++ b/src/relay/local-server.ts
@@ -16,6 +16,7 @@
 	type ServerRecord,
 } from '../announcement/index.js';
 import type {Logger} from '../log/index.js';
+import type {ColdStatement} from '../waiting/index.js';
 import type {ServerHealth, ServerNotice} from './platform-protocol.js';
 import {createServerNotices, noticeSources} from './server-notices.js';
 
@@ -32,6 +33,8 @@
 	readonly onSlotsUsable: () => void;
 	/** Called when the server names another limit on its request rate; infinite for none. */
 	readonly onRequestRate: (requestsPerSecond: number) => void;
+	/** Called when the server states whether it is cold. */
+	readonly onCold: (statement: ColdStatement) => void;
 };
 
 export type LocalServer = {
@@ -88,6 +91,9 @@
 		if (isNewProcess) {
 			notices.reset();
 			options.onNewProcess(record);
+		} else {
+			const {warmupMilliseconds} = announcement;
+			options.onCold({milliseconds: warmupMilliseconds, mayBeLate: true});
 		}
 
 		unreachableUntil = Number.NEGATIVE_INFINITY;
@@ -145,6 +151,10 @@
 			}
 
 			if (health.serverId !== undefined && health.serverId === record?.id) {
+				if (health.coldMilliseconds !== undefined) {
+					options.onCold({milliseconds: health.coldMilliseconds, mayBeLate: false});
+				}
+
 				notices.record(health, noticeSources.health, record.id);
 			}
 		},
--- a/src/waiting/gate-request.ts
+++ b/src/waiting/gate-request.ts
@@ -1,5 +1,8 @@
 /** A request as the gate's queue sees it, and the order in which requests leave the queue. */
 
+/** Share of the nominal duration that has to fit before the deadline. */
+export const requiredDurationShare = 0.6;
+
 /** A request that asks for a slot. */
 export type GateRequest = {
 	/** Unique among the requests of the gate. */
--- a/src/waiting/index.ts
+++ b/src/waiting/index.ts
@@ -29,6 +29,12 @@
 	type RequestEnd,
 	type SlotAssignment,
 } from './queue.js';
-export {changeStartRate, type StartRate} from './start-rate.js';
+export {
+	findHopeless,
+	recordCold,
+	type ColdStatement,
+	type HopelessRequest,
+} from './cold-server.js';
+export {changeColdLimit, changeStartRate, type StartRate} from './start-rate.js';
 export {chooseRetryAfter} from './retry-after.js';
 export {compareRequests, type GateRequest} from './gate-request.js';
--- a/src/waiting/queue.ts
+++ b/src/waiting/queue.ts
@@ -7,13 +7,18 @@
  * Load pattern: more requests than the server can take, of several ranks and routes, some of which
  * can no longer meet their latency target.
  */
+import {estimateRateDelay, updateColdLimit} from './cold-server.js';
 import {
 	chooseLimit,
 	createConcurrencyProfile,
 	recordSample,
 	type ConcurrencyProfile,
 } from './concurrency-limit.js';
-import {compareRequests, type GateRequest} from './gate-request.js';
+import {
+	compareRequests,
+	requiredDurationShare,
+	type GateRequest,
+} from './gate-request.js';
 import {
 	createServerSpeed,
 	currentSlowdown,
@@ -25,16 +30,8 @@
 	shouldDefer,
 	type ServerSpeed,
 } from './server-speed.js';
-import {
-	createStartRate,
-	estimateStartDelay,
-	mayStart,
-	recordStart,
-	type StartRate,
-} from './start-rate.js';
-
-/** Share of the nominal duration that has to fit before the deadline. */
-const requiredDurationShare = 0.6;
+import {createStartRate, mayStart, recordStart, type StartRate} from './start-rate.js';
+
 /** Mean duration assumed before any was measured, in milliseconds. */
 const defaultDurationMilliseconds = 100;
 
@@ -196,6 +193,7 @@
  */
 export function assignSlots(state: QueueState, now: number): SlotAssignment {
 	state.limit = chooseLimit(state.concurrency, state.slots, now);
+	updateColdLimit(state, now);
 	const tooLate = dropTooLate(state, now);
 	const started: string[] = [];
 	let isDeferring = false;
@@ -242,7 +240,8 @@
 		now,
 	);
 	const ahead = countAhead(state, request);
-	const startDelay = estimateStartDelay(state.startRate, ahead, now);
+	updateColdLimit(state, now);
+	const startDelay = estimateRateDelay(state, ahead, now);
 	return Math.max(deferral, startDelay, estimateSlotWait(state, ahead));
 }
 
--- a/src/waiting/start-rate.ts
+++ b/src/waiting/start-rate.ts
@@ -1,7 +1,7 @@
 /**
- * The rate at which requests may start at a server that names a limit on it. The allowance grows with
- * time up to a short burst. It is empty when a limit becomes known, since an earlier process of this
- * node may have started requests shortly before.
+ * The rate at which requests may start at a server that names a limit on it, or that bears less while it
+ * is cold; the lower limit holds. The allowance grows with time up to a short burst. It is empty when a
+ * limit becomes known, since an earlier process of this node may have started requests shortly before.
  *
  * Load pattern: a flood of requests to a server that names a limit far below it, while its node is
  * restarted or frozen.
@@ -14,12 +14,17 @@
 const millisecondsPerSecond = 1000;
 
 export type StartRate = {
-	/** Infinite without a limit. */
+	/** The limit in force; infinite without one. */
 	requestsPerSecond: number;
 	/** Requests that may start at `countedAt`; may be a fraction. */
 	allowance: number;
 	/** Monotonic time in milliseconds. */
 	countedAt: number;
+	/** Limit that the server names; infinite if it names none. */
+	namedRequestsPerSecond: number;
+	/** Requests a second that the server bears while it is cold; infinite for no limit. */
+	coldRequestsPerSecond: number;
+	isCold: boolean;
 };
 
 /** @returns a rate without a limit */
@@ -28,6 +33,9 @@
 		requestsPerSecond: Number.POSITIVE_INFINITY,
 		allowance: 0,
 		countedAt: Number.NEGATIVE_INFINITY,
+		namedRequestsPerSecond: Number.POSITIVE_INFINITY,
+		coldRequestsPerSecond: Number.POSITIVE_INFINITY,
+		isCold: false,
 	};
 }
 
@@ -43,6 +51,30 @@
 	requestsPerSecond: number,
 	now: number,
 ): void {
+	rate.namedRequestsPerSecond = requestsPerSecond;
+	applyLimits(rate, now);
+}
+
+/**
+ * Sets what the server bears while it is cold, and whether it is.
+ *
+ * @param rate changed in place
+ * @param cold the limit, infinite for none, and whether the server is cold; what is not given stays
+ * @param now monotonic time in milliseconds
+ */
+export function changeColdLimit(
+	rate: StartRate,
+	cold: Partial<Pick<StartRate, 'coldRequestsPerSecond' | 'isCold'>>,
+	now: number,
+): void {
+	Object.assign(rate, cold);
+	applyLimits(rate, now);
+}
+
+function applyLimits(rate: StartRate, now: number): void {
+	const requestsPerSecond = rate.isCold
+		? Math.min(rate.namedRequestsPerSecond, rate.coldRequestsPerSecond)
+		: rate.namedRequestsPerSecond;
 	if (requestsPerSecond === rate.requestsPerSecond) {
 		return;
 	}
--- a/test/waiting/simulated-server.ts
+++ b/test/waiting/simulated-server.ts
@@ -5,11 +5,13 @@
 import {
 	assignSlots,
 	assumeBaselineSpeed,
+	changeColdLimit,
 	changeStartRate,
 	createQueue,
 	finishRequest,
 	offerOutcomes,
 	offerRequest,
+	recordCold,
 	recordSlowdown,
 	type GateRequest,
 	type QueueState,
@@ -31,6 +33,10 @@
 	readonly reportsSpeed: boolean;
 	/** Limit on the request rate that the server names; infinite for none. */
 	readonly requestsPerSecond: number;
+	/** Requests a second that it bears while it is cold; infinite for no limit. */
+	readonly coldRequestsPerSecond: number;
+	/** For how long it is cold from the start on, in milliseconds. */
+	readonly coldMilliseconds: number;
 };
 
 export const calmModel: ServerModel = {
@@ -43,6 +49,8 @@
 	baseSlowdown: 1,
 	reportsSpeed: true,
 	requestsPerSecond: Number.POSITIVE_INFINITY,
+	coldRequestsPerSecond: Number.POSITIVE_INFINITY,
+	coldMilliseconds: 0,
 };
 
 export type Arrival = {
@@ -73,6 +81,9 @@
 } {
 	const state = createQueue(model.slots);
 	changeStartRate(state.startRate, model.requestsPerSecond, 0);
+	const {coldRequestsPerSecond} = model;
+	changeColdLimit(state.startRate, {coldRequestsPerSecond}, 0);
+	recordCold(state, {milliseconds: model.coldMilliseconds, mayBeLate: false}, 0);
 	const ends: SimulatedEnd[] = [];
 	const starts: number[] = [];
 	const events: Event[] = [];
