--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -5,6 +5,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Result} from 'neverthrow';
+import type {EvacuationRow} from '../evacuation/index.js';
 import type {Logger} from '../log/index.js';
 import type {RoutesHolder} from './active-routes.js';
 
@@ -22,6 +23,10 @@
 	readonly text: string | undefined;
 	/** Where in the table's history this was read. */
 	readonly position: TablePosition;
+	/** Evacuations of failure domains that were written or removed, or all of them. */
+	readonly evacuations: readonly EvacuationRow[];
+	/** Whether all evacuations are listed; otherwise only those that have changed. */
+	readonly isComplete: boolean;
 };
 
 export const routeSourceErrors = {
@@ -59,6 +64,8 @@
 	readonly random: () => number;
 	/** Called when the table answers in another era than before, and at its first answer. */
 	readonly onEra: (era: number) => void;
+	/** Called with each reading, before its routes are activated. */
+	readonly onReading: (reading: RoutesReading) => void;
 };
 
 export type RoutesFollower = {readonly close: () => void};
@@ -84,9 +91,11 @@
 	let failures = 0;
 	let knownEra: number | undefined;
 
-	function recordSuccess({position}: RoutesReading): void {
+	function recordSuccess(reading: RoutesReading): void {
+		const {position} = reading;
 		failures = 0;
 		recordEra(position);
+		options.onReading(reading);
 		if (isUnavailable) {
 			isUnavailable = false;
 			log.info('table regained', {
--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -73,6 +73,8 @@
 	 * given stays as it was.
 	 */
 	readonly changeNotice: (notice: StandInNotice) => void;
+	/** States for a time, in its health responses and heartbeats, that it is cold. */
+	readonly setCold: (milliseconds: number) => void;
 	/** Resets the connection, after processing, of requests whose path contains this. */
 	readonly resetConnectionsOnPath: (path: string) => void;
 	/** Stops immediately; resolves when its port is free. */
@@ -97,6 +99,7 @@
 		node: undefined as NodeAddress | undefined,
 	};
 	let statedNotice: StandInNotice = {};
+	let coldUntil: number | undefined;
 	let timer: NodeJS.Timeout | undefined;
 
 	function handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -181,6 +184,10 @@
 		};
 	}
 
+	function remainingColdMilliseconds(): number {
+		return Math.max(0, (coldUntil ?? 0) - Date.now());
+	}
+
 	async function sendHeartbeat(status: 'ready' | 'draining'): Promise<number> {
 		const {node} = state;
 		if (node === undefined) {
@@ -197,7 +204,11 @@
 				zone: 'a',
 				capacity: options.slots,
 			},
-			status: {state: status, sequence: state.sequence, 'warmup-ms': 0},
+			status: {
+				state: status,
+				sequence: state.sequence,
+				'warmup-ms': remainingColdMilliseconds(),
+			},
 		});
 	}
 
@@ -208,6 +219,9 @@
 				'x-instance-load': describeLoad(),
 				'content-length': 0,
 				...listNoticeHeaders(),
+				...(coldUntil === undefined
+					? {}
+					: {'x-warmup-remaining': String(remainingColdMilliseconds())}),
 			});
 			response.end();
 			return;
@@ -241,6 +255,9 @@
 		changeNotice(notice) {
 			statedNotice = {...statedNotice, ...notice};
 		},
+		setCold(milliseconds) {
+			coldUntil = Date.now() + milliseconds;
+		},
 		resetConnectionsOnPath(path) {
 			state.resetPath = path;
 		},
--- a/stand-ins/platform/store.ts
+++ b/stand-ins/platform/store.ts
@@ -11,7 +11,14 @@
 	type ServerResponse,
 } from 'node:http';
 
-type Row = {table: string; part: string; key: string; value: string; ver: number};
+type Row = {
+	table: string;
+	part: string;
+	key: string;
+	value?: string;
+	ver: number;
+	tombstone?: true;
+};
 type RowKey = {readonly table: string; readonly part: string; readonly key: string};
 type Transaction = {
 	readonly 'expected-rev'?: ReadonlyArray<RowKey & {readonly ver: number}>;
@@ -29,6 +36,12 @@
 	readonly server: Server;
 	/** Writes a configuration document, as an operator would. */
 	readonly putConfiguration: (document: unknown) => void;
+	/** Evacuates a failure domain, as an operator would. */
+	readonly putEvacuation: (domain: string) => void;
+	/** Takes a failure domain back. */
+	readonly removeEvacuation: (domain: string) => void;
+	/** Limits the rows of a page. */
+	readonly setPageLength: (rows: number) => void;
 	readonly setUnavailable: (isUnavailable: boolean) => void;
 	readonly takeCopy: () => StoreCopy;
 	/** Returns to a copy: what was written since is gone, and its versions are given out again. */
@@ -51,12 +64,18 @@
 		isUnavailable: false,
 		delay: 0,
 		isLosingResponses: false,
+		pageLength: Number.POSITIVE_INFINITY,
 	};
 
 	function putRow(entry: RowKey & {readonly value: string}): void {
-		state.version += 1;
 		const {table, part, key, value} = entry;
-		rows.set(serializeKey(entry), {table, part, key, value, ver: state.version});
+		changeRow({table, part, key, value});
+	}
+
+	/** Removed rows stay in the history of the feed. */
+	function changeRow(change: Omit<Row, 'ver'>): void {
+		state.version += 1;
+		rows.set(serializeKey(change), {...change, ver: state.version});
 		for (const sendIfChanged of feedListeners) {
 			sendIfChanged();
 		}
@@ -66,7 +85,10 @@
 		const from = query.get('from') ?? '';
 		const to = query.get('to') ?? '\u{10FFFF}';
 		return [...rows.values()]
-			.filter(({table, key}) => table === query.get('table') && key >= from && key < to)
+			.filter(
+				({table, key, tombstone}) =>
+					table === query.get('table') && key >= from && key < to && !tombstone,
+			)
 			.toSorted((left, right) => (left.key < right.key ? -1 : 1));
 	}
 
@@ -103,9 +125,14 @@
 		sendIfChanged();
 	}
 
+	function findVersion(key: RowKey): number {
+		const row = rows.get(serializeKey(key));
+		return row === undefined || row.tombstone ? 0 : row.ver;
+	}
+
 	function handleTransaction(body: Transaction, response: ServerResponse): void {
 		const areConditionsMet = (body['expected-rev'] ?? []).every(
-			entry => (rows.get(serializeKey(entry))?.ver ?? 0) === entry.ver,
+			entry => findVersion(entry) === entry.ver,
 		);
 		if (!areConditionsMet) {
 			respond(response, 412, {rows: []});
@@ -147,10 +174,11 @@
 		}
 
 		if (url.pathname === '/rows-get') {
+			const listed = listRows(url.searchParams);
 			respond(response, 200, {
-				rows: listRows(url.searchParams),
+				rows: listed.slice(0, state.pageLength),
 				ver: state.version,
-				'more-pages': false,
+				'more-pages': listed.length > state.pageLength,
 			});
 			return;
 		}
@@ -165,6 +193,15 @@
 			const value = Buffer.from(JSON.stringify(document)).toString('base64');
 			putRow({table: 'op', part: '', key: 'config', value});
 		},
+		putEvacuation(domain) {
+			putRow({table: 'op', part: '', key: `evacuate/${domain}`, value: ''});
+		},
+		removeEvacuation(domain) {
+			changeRow({table: 'op', part: '', key: `evacuate/${domain}`, tombstone: true});
+		},
+		setPageLength(length) {
+			state.pageLength = length;
+		},
 		setUnavailable(isUnavailable) {
 			state.isUnavailable = isUnavailable;
 		},
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -44,5 +44,45 @@
 	expect(again._unsafeUnwrap()).toEqual({
 		text: JSON.stringify({version: 'r3'}),
 		position: {era: position.era + 1, version: position.version},
+		evacuations: [],
+		isComplete: true,
 	});
 });
+
+test('evacuations are read in full, and followed until they are taken back', async context => {
+	const {store, routeSource} = await startStore(context);
+	store.putConfiguration({version: 'r1'});
+	store.putEvacuation('coast-1');
+	const read = await routeSource.read();
+	const {position, ...full} = read._unsafeUnwrap();
+	expect(full).toEqual({
+		text: JSON.stringify({version: 'r1'}),
+		evacuations: [{domain: 'coast-1', isEvacuated: true, rowVersion: position.version}],
+		isComplete: true,
+	});
+	store.removeEvacuation('coast-1');
+	const change = await routeSource.awaitChange(position, waitMilliseconds);
+	expect(change._unsafeUnwrap()).toEqual({
+		text: undefined,
+		position: {era: position.era, version: position.version + 1},
+		evacuations: [
+			{domain: 'coast-1', isEvacuated: false, rowVersion: position.version + 1},
+		],
+		isComplete: false,
+	});
+	const again = await routeSource.read();
+	expect(again._unsafeUnwrap().evacuations).toEqual([]);
+});
+
+test('a table that is longer than a page is read to its end', async context => {
+	const {store, routeSource} = await startStore(context);
+	store.setPageLength(1);
+	store.putConfiguration({version: 'r1'});
+	store.putEvacuation('coast-1');
+	store.putEvacuation('coast-2');
+	const reading = await routeSource.read();
+	expect(reading._unsafeUnwrap().evacuations.map(({domain}) => domain)).toEqual([
+		'coast-1',
+		'coast-2',
+	]);
+});
--- a/test/relay/routes.test.ts
+++ b/test/relay/routes.test.ts
@@ -37,6 +37,10 @@
 	});
 }
 
+function createReading(text: string, era: number, version: number): RoutesReading {
+	return {text, position: {era, version}, evacuations: [], isComplete: false};
+}
+
 async function waitUntil(condition: () => boolean): Promise<void> {
 	for (let tries = 0; tries < 200 && !condition(); tries += 1) {
 		await sleep(20);
@@ -49,14 +53,11 @@
 	let polls = 0;
 	const follower = followRoutes({
 		source: {
-			read: async () => ok<RoutesReading>({text: '1', position: {era: 0, version: 4}}),
+			read: async () => ok(createReading('1', 0, 4)),
 			async awaitChange({era, version}) {
 				polls += 1;
 				await sleep(5);
-				return ok<RoutesReading>({
-					text: String(version),
-					position: {era, version: version + 1},
-				});
+				return ok(createReading(String(version), era, version + 1));
 			},
 		},
 		holder,
@@ -64,6 +65,7 @@
 		isPoller: () => role.isPoller,
 		random: () => 0.5,
 		onEra: ignore,
+		onReading: ignore,
 	});
 	await sleep(400);
 	expect(holder.current()?.table.version).toEqual(1);
@@ -77,10 +79,10 @@
 test('a poller reads the routes again after the table failed or lost its history', async () => {
 	const holder = createHolder();
 	const readings: RoutesReading[] = [
-		{text: '1', position: {era: 1, version: 8}},
-		{text: '1', position: {era: 1, version: 8}},
-		{text: '4', position: {era: 2, version: 8}},
-		{text: '6', position: {era: 3, version: 9}},
+		createReading('1', 1, 8),
+		createReading('1', 1, 8),
+		createReading('4', 2, 8),
+		createReading('6', 3, 9),
 	];
 	const errors = [routeSourceErrors.unavailable, routeSourceErrors.historyGone];
 	const polled: TablePosition[] = [];
@@ -106,6 +108,7 @@
 		onEra(era) {
 			eras.push(era);
 		},
+		onReading: ignore,
 	});
 	await waitUntil(() => polled.length === 3);
 	follower.close();
