Close the gates of evacuated failure domains, and check homes at the gate

Cause: a gate served whatever reached it, by the word of the ingress.

Change: the gate itself stops accepting while its failure domain is evacuated, refuses what waits as not run, and gossips no slots; the placer leaves these gates out. An attempt whose homes exclude the region of the gate is refused. If an ingress states none, route and team are looked up.

--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -24,9 +24,12 @@
 import {createRelayMetrics, type RelayMetrics} from './metrics.js';
 import {createRelayPeerListener} from './peer-listener.js';
 import {createPeerClient} from './peer-client.js';
+import {createEvacuationTracker} from './evacuation-tracker.js';
 import {createPlacer} from './placer.js';
 import {routesTopic} from './peer-routes.js';
 import {createRoutesHolder, type RoutesHolder} from './active-routes.js';
+import {createResidenceCheck} from './residence-check.js';
+import type {RoutesReading} from './routes-follower.js';
 import {splitAddress, type RelaySettings} from './settings.js';
 import {createTableEra} from './table-era.js';
 
@@ -53,6 +56,8 @@
 	readonly isPoller: () => boolean;
 	/** Records the era in which the table answers. */
 	readonly recordTableEra: (era: number) => void;
+	/** Records what else than routes was read from the table. */
+	readonly recordReading: (reading: RoutesReading) => void;
 	/** Reports not ready, and refuses calls that may last beyond this monotonic time. */
 	readonly startDraining: (endsAt: number) => void;
 	readonly dump: () => Record<string, unknown>;
@@ -84,6 +89,21 @@
 	let socket: GateSocket | undefined;
 	let leaving = false;
 	const tableEra = createTableEra();
+	const evacuations = createEvacuationTracker({
+		log,
+		onChange(domain) {
+			if (domain === node.failureDomain) {
+				gate.applyEvacuation();
+			}
+		},
+	});
+	const findService = () =>
+		routesHolder.current()?.table.services.find(({name}) => name === server.service);
+	const mayRunHere = createResidenceCheck({
+		region: node.region,
+		routes: () => routesHolder.current(),
+		readTeamKey: headers => protocol.readCallerHeaders(headers).teamKey,
+	});
 	/** Whether this node is one of the pollers; undefined after a change of the members. */
 	let isChosenPoller: boolean | undefined;
 	const membersOf = (service: string) => membership?.membersOf(service) ?? [];
@@ -91,6 +111,7 @@
 		gate: () => gate.state(),
 		routesVersion: () => routesHolder.current()?.table.version ?? 0,
 		tableEra: tableEra.current,
+		evacuatedDomains: () => evacuations.list().length,
 		members: () => membership?.all().length ?? 0,
 		droppedLines: log.countDropped,
 		dump: () => dump(),
@@ -103,9 +124,11 @@
 		server: {...splitAddress(server.address), service: server.service},
 		maximumConnections: server.maximumConnections,
 		inboundLink,
-		healthPath: () =>
-			routesHolder.current()?.table.services.find(({name}) => name === server.service)
-				?.healthPath,
+		coldRequestsPerSecond: () =>
+			findService()?.coldRequestsPerSecond ?? Number.POSITIVE_INFINITY,
+		isEvacuated: () => evacuations.isEvacuated(node.failureDomain),
+		mayRunHere,
+		healthPath: () => findService()?.healthPath,
 		probesPerSecond: settings.measuring.probesPerSecond,
 		retryPolicy: settings.repeats,
 		countGates: () => Math.max(1, membersOf(server.service).length),
@@ -120,6 +143,7 @@
 		now,
 		onChange(version) {
 			membership?.publishVersion(routesTopic, version);
+			gate.applyRoutes();
 			gate.discoverServer();
 		},
 	});
@@ -136,6 +160,7 @@
 		gate,
 		socket: querySocket,
 		membersOf,
+		isEvacuated: evacuations.isEvacuated,
 		costs: settings.costs,
 		now,
 		random: Math.random,
@@ -174,6 +199,7 @@
 		routesVersion: routesHolder.current()?.table.version,
 		routesSince: routesHolder.current()?.activeSince,
 		tableEra: tableEra.current(),
+		evacuatedDomains: evacuations.list(),
 		callersInFlight: callers.countInFlight(),
 		members: membership?.all(),
 		membership: membership?.dump(),
@@ -199,6 +225,7 @@
 			membership = joined;
 			isChosenPoller = undefined;
 			tableEra.attach(joined);
+			evacuations.attach(joined);
 			const routes = routesHolder.current();
 			if (routes) {
 				joined.publishVersion(routesTopic, routes.table.version);
@@ -252,6 +279,7 @@
 			return isChosenPoller || isIsolated(membership.lastPacketAt(), now());
 		},
 		recordTableEra: tableEra.record,
+		recordReading: evacuations.record,
 		startDraining(endsAt) {
 			leaving = true;
 			callers.drain(endsAt);
--- a/src/relay/gate-types.ts
+++ b/src/relay/gate-types.ts
@@ -9,7 +9,7 @@
 import type {GateReport} from '../placing/index.js';
 import type {InboundLink} from '../waiting/index.js';
 import type {RetryPolicy} from '../repeats/index.js';
-import type {RelayAttempt} from './call.js';
+import type {RelayAttempt, RelayCall} from './call.js';
 import type {PlatformProtocol} from './platform-protocol.js';
 
 /** A request for which a gate is asked to estimate wait and duration. */
@@ -35,6 +35,12 @@
 		readonly port: number;
 		readonly service: string;
 	};
+	/** Requests a second that a cold server bears; infinite for no limit. */
+	readonly coldRequestsPerSecond: () => number;
+	/** Whether the failure domain of the gate is evacuated. */
+	readonly isEvacuated: () => boolean;
+	/** Whether a request may run at the server, by its homes. */
+	readonly mayRunHere: (call: RelayCall) => boolean;
 	readonly maximumConnections: number;
 	/** The link over which bodies reach this VM. */
 	readonly inboundLink: InboundLink;
@@ -70,6 +76,10 @@
 	readonly cancelAttempt: (id: AttemptId) => boolean;
 	/** Looks for the server through its health path, unless it is known already. */
 	readonly discoverServer: () => void;
+	/** Applies what the routes say of the server's service. */
+	readonly applyRoutes: () => void;
+	/** Stops or resumes accepting requests after an evacuation has begun or ended. */
+	readonly applyEvacuation: () => void;
 	readonly handleAnnouncement: (announcement: ServerAnnouncement) => AnnouncementVerdict;
 	/** Handles the deregistration of the server with this id; false if it is another server. */
 	readonly deregisterServer: (id: string) => boolean;
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -37,6 +37,7 @@
 	recordSlowdown,
 	type OfferResult,
 } from '../waiting/index.js';
+import {refuseWhereClosed} from './closed-gate.js';
 import {createEntry, describeEntry, isParentOf, type GateEntry} from './gate-entry.js';
 import {createGateQueue} from './gate-queue.js';
 import type {RelayGate, RelayGateOptions} from './gate-types.js';
@@ -88,6 +89,7 @@
 		onStateChange: applyServerState,
 		onSlotsUsable: applyUsableSlots,
 		onRequestRate: queue.changeRequestRate,
+		onCold: queue.recordCold,
 	});
 	const speedProbe = createSpeedProbe({
 		probe: async path => client.probe(describeTarget(), path),
@@ -104,8 +106,13 @@
 		},
 	});
 
+	/** Whether the gate takes no new requests, whatever the state of its server. */
+	function isClosed(): boolean {
+		return leaving || options.isEvacuated();
+	}
+
 	function isAccepting(): boolean {
-		return localServer.isAvailable() && !leaving;
+		return localServer.isAvailable() && !isClosed();
 	}
 
 	function describeTarget(): ServerTarget {
@@ -147,19 +154,19 @@
 
 		entries.set(entry.key, entry);
 		const {call, isRetry} = entry.attempt;
-		if (!isAccepting() || call.service !== server.service) {
+		const closedRefusal = refuseWhereClosed({
+			isAccepting: isAccepting() && call.service === server.service,
+			isLeaving: leaving,
+			isHome: options.mayRunHere(call),
+		});
+		if (closedRefusal) {
 			const record = localServer.record();
-			const kind = leaving ? refusalKinds.leaving : refusalKinds.noServer;
-			refuse(
-				entry,
-				createRefusal(kind, 'this gate accepts no new requests: use another'),
-				{
-					server: record?.id,
-					state: record?.state,
-					heardMillisecondsAgo: record && Math.round(now() - record.heardAt),
-					leaving,
-				},
-			);
+			refuse(entry, closedRefusal, {
+				server: record?.id,
+				state: record?.state,
+				heardMillisecondsAgo: record && Math.round(now() - record.heardAt),
+				leaving,
+			});
 			return;
 		}
 
@@ -221,11 +228,17 @@
 		}
 	}
 
-	function refuseTooLate(key: string): void {
+	/** A wait that became too long while the request waited gives the pause before a retry. */
+	function refuseTooLate(key: string, waitMilliseconds?: number): void {
 		const entry = entries.get(key);
 		if (entry) {
 			const message = 'the response would now come too late';
-			refuse(entry, createRefusal(refusalKinds.overloaded, message), {
+			const remaining = entry.request.deadlineAt - now();
+			const pause =
+				waitMilliseconds === undefined
+					? undefined
+					: chooseRetryAfter(waitMilliseconds, remaining, options.random());
+			refuse(entry, createRefusal(refusalKinds.overloaded, message, pause), {
 				waitedMilliseconds: Math.round(now() - entry.request.arrivedAt),
 			});
 		}
@@ -330,7 +343,8 @@
 
 	function applyServerState(): void {
 		applyUsableSlots();
-		const slots = isAccepting() ? localServer.record()!.slots : 0;
+		const isOpen = !isClosed() && localServer.usableSlots() > 0;
+		const slots = isOpen ? localServer.record()!.slots : 0;
 		if (slots === 0) {
 			refuseWaiting('the server accepts no new requests');
 		}
@@ -339,7 +353,7 @@
 	}
 
 	function applyUsableSlots(): void {
-		queue.changeSlots(leaving ? 0 : localServer.usableSlots());
+		queue.changeSlots(isClosed() ? 0 : localServer.usableSlots());
 	}
 
 	return {
@@ -384,10 +398,14 @@
 			);
 		},
 		discoverServer() {
-			if (localServer.record() === undefined) {
+			if (localServer.record() === undefined && !options.isEvacuated()) {
 				void speedProbe.refresh();
 			}
 		},
+		applyRoutes() {
+			queue.changeColdRate(options.coldRequestsPerSecond());
+		},
+		applyEvacuation: applyServerState,
 		handleAnnouncement: localServer.handleAnnouncement,
 		deregisterServer: localServer.deregister,
 		isParentRunning(requestId) {
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -17,6 +17,8 @@
 	readonly gate: () => RelayGateState;
 	readonly routesVersion: () => number;
 	readonly tableEra: () => number;
+	/** Number of evacuated failure domains. */
+	readonly evacuatedDomains: () => number;
 	readonly members: () => number;
 	readonly droppedLines: () => number;
 	/** The whole state of the process, for a dump. */
@@ -88,6 +90,11 @@
 		],
 		['foxtailtide_routes_version', 'Version in force.', sources.routesVersion],
 		['foxtailtide_table_era', 'Era of the table.', sources.tableEra],
+		[
+			'foxtailtide_evacuated_domains',
+			'Failure domains whose servers get no new requests.',
+			sources.evacuatedDomains,
+		],
 		['foxtailtide_members', 'Nodes that are held alive.', sources.members],
 		['foxtailtide_log_lines_dropped', 'Log lines dropped.', sources.droppedLines],
 	];
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -33,6 +33,8 @@
 	readonly gate: Pick<RelayGate, 'report'>;
 	readonly socket: Pick<GateSocket, 'queryLoad'>;
 	readonly membersOf: (service: string) => readonly Member[];
+	/** Whether the servers of a failure domain get no new requests. */
+	readonly isEvacuated: (failureDomain: string) => boolean;
 	readonly costs: ByteCosts;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
@@ -207,8 +209,10 @@
 			const members = options
 				.membersOf(call.service)
 				.filter(
-					({status, region}) =>
-						status === memberStatuses.alive && isHome(call.homes, region),
+					({status, region, failureDomain}) =>
+						status === memberStatuses.alive &&
+						isHome(call.homes, region) &&
+						!options.isEvacuated(failureDomain),
 				);
 			const hasSameRegion = members.some(member => isSameRegion(member, location));
 			const candidates = orderForQueries(
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -59,6 +59,7 @@
 			isPoller: components.isPoller,
 			random: Math.random,
 			onEra: components.recordTableEra,
+			onReading: components.recordReading,
 		});
 		const membership = yield* joinMembership(settings, adapter, incarnation);
 		components.attachMembership(membership);
--- /dev/null
+++ b/src/residence/index.ts
@@ -0,0 +1,2 @@
+/** Public API of residence: where a request may run. */
+export {mayRunIn, type KnownOrigin, type ResidenceClaim} from './residence.js';
--- a/src/teams/index.ts
+++ b/src/teams/index.ts
@@ -1,5 +1,5 @@
 /** Public API of teams: who a caller is by its key, and where its requests may run. */
-export {combineHomes, isHome} from './homes.js';
+export {combineHomes, isHome, type Homes} from './homes.js';
 export {
 	createTeamIndex,
 	identifyCaller,
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -12,10 +12,11 @@
 import {expect} from 'earl';
 import {platformProtocol} from '../../platform/protocol.js';
 import {serverStates} from '../../src/announcement/index.js';
-import {attemptResultKinds} from '../../src/call/index.js';
+import {attemptResultKinds, outcomes} from '../../src/call/index.js';
 import {createInboundLink} from '../../src/waiting/index.js';
 import type {RelayAttempt} from '../../src/relay/call.js';
 import {createRelayGate} from '../../src/relay/gate.js';
+import type {RelayGateOptions} from '../../src/relay/gate-types.js';
 
 const silent = (): void => undefined;
 
@@ -24,6 +25,7 @@
 	context: TestContext,
 	handle: RequestListener,
 	probesPerSecond = 0,
+	options: Partial<RelayGateOptions> = {},
 ) {
 	const server = createServer(handle);
 	await new Promise<void>(resolve => {
@@ -36,6 +38,9 @@
 		now: () => performance.now(),
 		random: () => 0.5,
 		server: {host: '127.0.0.1', port, service: 'bookings'},
+		coldRequestsPerSecond: () => Number.POSITIVE_INFINITY,
+		isEvacuated: () => false,
+		mayRunHere: () => true,
 		inboundLink: createInboundLink(1000),
 		maximumConnections: 10,
 		healthPath: () => '/health',
@@ -44,6 +49,7 @@
 		countGates: () => 1,
 		onSlotsChanged: silent,
 		onAttemptEnd: silent,
+		...options,
 	});
 	context.after(() => {
 		gate.close();
@@ -208,3 +214,76 @@
 	const later = await gate.run(createAttempt(2)).result;
 	expect(later.kind).toEqual(attemptResultKinds.answered);
 });
+
+test('an evacuated gate ends what runs, refuses what waits as not run, and takes requests when it is taken back', async context => {
+	const state = {isEvacuated: false, received: 0};
+	const slots: number[] = [];
+	const responses: Array<() => void> = [];
+	const gate = await startGate(
+		context,
+		(request, response) => {
+			state.received += 1;
+			responses.push(() => {
+				respond(request, response);
+			});
+		},
+		0,
+		{
+			isEvacuated: () => state.isEvacuated,
+			onSlotsChanged(changed) {
+				slots.push(changed);
+			},
+		},
+	);
+	const running = gate.run(createAttempt(1)).result;
+	const waiting = gate.run(createAttempt(2)).result;
+	while (state.received === 0) {
+		await sleep(5);
+	}
+
+	state.isEvacuated = true;
+	gate.applyEvacuation();
+	const later = gate.run(createAttempt(3)).result;
+	for (const settled of [await waiting, await later]) {
+		expect(settled).toLooseEqual({
+			kind: attemptResultKinds.refused,
+			outcome: outcomes.notRun,
+			load: undefined,
+			refusal: settled.kind === attemptResultKinds.refused ? settled.refusal : undefined,
+		});
+	}
+
+	responses[0]!();
+	const finished = await running;
+	expect([finished.kind, state.received]).toEqual([attemptResultKinds.answered, 1]);
+	state.isEvacuated = false;
+	gate.applyEvacuation();
+	expect(slots).toEqual([4, 0, 4]);
+	const resumed = gate.run(createAttempt(4)).result;
+	while (state.received === 1) {
+		await sleep(5);
+	}
+
+	responses[1]!();
+	const answered = await resumed;
+	expect(answered.kind).toEqual(attemptResultKinds.answered);
+});
+
+test('an attempt that may not run in the region of the gate does not reach the server', async context => {
+	let received = 0;
+	const gate = await startGate(
+		context,
+		(request, response) => {
+			received += 1;
+			respond(request, response);
+		},
+		0,
+		{mayRunHere: ({homes}) => homes === undefined},
+	);
+	const attempt = createAttempt(1);
+	const away = {...attempt, call: {...attempt.call, homes: ['plain']}};
+	const settled = await gate.run(away).result;
+	expect([settled.kind, received]).toEqual([attemptResultKinds.refused, 0]);
+	const home = await gate.run(createAttempt(2)).result;
+	expect(home.kind).toEqual(attemptResultKinds.answered);
+});
--- a/test/relay/placer.test.ts
+++ b/test/relay/placer.test.ts
@@ -68,6 +68,7 @@
 function createTestPlacer(
 	members: readonly Member[],
 	report: (member: Member) => GateReport,
+	isEvacuated: (failureDomain: string) => boolean = () => false,
 ) {
 	const queried: string[] = [];
 	const random = createRandom(5);
@@ -82,6 +83,7 @@
 			},
 		},
 		membersOf: () => members,
+		isEvacuated,
 		costs: {perKilobyteBetweenDomains: 0.01, perKilobyteBetweenRegions: 0.05},
 		now: () => performance.now(),
 		random,
@@ -133,3 +135,18 @@
 	expect(gates.length).toBeGreaterThan(0);
 	expect(gates.every(({member}) => member.region !== 'coast')).toEqual(true);
 });
+
+test('gates of an evacuated failure domain are neither queried nor chosen', async () => {
+	const {placer, queried} = createTestPlacer(
+		createMembers(45),
+		() => free,
+		failureDomain => failureDomain === 'coast-0',
+	);
+	for (let index = 0; index < 20; index += 1) {
+		const [best] = await placer.orderGates(createCall(100), new Set());
+		expect(best!.member.failureDomain).toEqual('coast-1');
+	}
+
+	const domains = queried.map(id => Number(id.slice('node-'.length)) % 2);
+	expect(domains.every(domain => domain === 1)).toEqual(true);
+});
