Divide what a team may use among the nodes: windows, allocators, nodes' parts, wiring

Cause: the caps of teams were decoded and not kept. Change: each team has one allocator, chosen by rendezvous hashing, that grants tokens in a sliding window; other nodes ask it by datagrams and may go on for a short, bounded time while it is silent.

--- a/src/relay/caller-admission.ts
+++ b/src/relay/caller-admission.ts
@@ -7,7 +7,6 @@
 import type {Team} from '../routes/index.js';
 import {identifyCaller, type CallerClaim} from '../teams/index.js';
 import type {ActiveRoutes} from './active-routes.js';
-import type {RelayCall} from './call.js';
 
 /** Returns the team of an admitted caller, if it has one. */
 export type AdmitCaller = (
@@ -17,10 +16,10 @@
 ) => Result<Team | undefined, Refusal>;
 
 /** Resolves to a refusal when the team has used what it may use. */
-export type SpendAllowance = (
-	team: Team,
-	call: RelayCall,
-) => Promise<Refusal | undefined>;
+export type SpendAllowance = (team: Team) => Promise<Refusal | undefined>;
+
+/** Takes back what a request spent that arrived at this monotonic time and provably did not run. */
+export type ReturnAllowance = (team: string, arrivedAt: number) => void;
 
 export type CallerAdmissionOptions = {
 	/** Whether the active routes are known to have been the newest ones recently enough. */
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -39,7 +39,7 @@
 import {combineHomes} from '../teams/index.js';
 import type {InboundLink} from '../waiting/index.js';
 import type {RelayCall} from './call.js';
-import type {AdmitCaller, SpendAllowance} from './caller-admission.js';
+import type {AdmitCaller, ReturnAllowance, SpendAllowance} from './caller-admission.js';
 import type {RunRelayCall} from './call-runner.js';
 import type {CallerRequestMetadata, PlatformProtocol} from './platform-protocol.js';
 import {receiveBody} from './receive-body.js';
@@ -54,6 +54,7 @@
 	readonly admitCaller: AdmitCaller;
 	/** Spends from the allowance of the request's team, if it has one. */
 	readonly spendAllowance: SpendAllowance;
+	readonly returnAllowance: ReturnAllowance;
 	/** Service of the local server, given as the origin of the calls. */
 	readonly service: string;
 	/** Whether the local server runs the request that made the one with this id. */
@@ -200,8 +201,9 @@
 		activeRoutes: ActiveRoutes,
 	): Promise<void> {
 		const {metadata, team} = received;
-		const refusal = team && (await options.spendAllowance(team, call));
+		const refusal = team && (await options.spendAllowance(team));
 		if (response.closed) {
+			returnAllowance(call);
 			return;
 		}
 
@@ -220,6 +222,7 @@
 		activeRoutes: ActiveRoutes,
 	): void {
 		if (call.deadlineAt > stopsAt) {
+			returnAllowance(call);
 			const message = 'this node is stopping: send the request to another node';
 			const delay = leavingRetryMilliseconds;
 			refuse(response, metadata, createRefusal(refusalKinds.leaving, message, delay));
@@ -241,10 +244,20 @@
 		response.once('close', running.cancel);
 		void running.result.then(result => {
 			response.removeListener('close', running.cancel);
+			if (isNotRun(result)) {
+				returnAllowance(call);
+			}
+
 			finish(response, call, metadata, result);
 		});
 	}
 
+	function returnAllowance({team, arrivedAt}: RelayCall): void {
+		if (team !== undefined) {
+			options.returnAllowance(team, arrivedAt);
+		}
+	}
+
 	function createCall(
 		request: IncomingMessage,
 		received: ReceivedRequest,
@@ -386,6 +399,10 @@
 	return activeRoutes && findRoute(activeRoutes.index, host, request.url!);
 }
 
+function isNotRun(result: AttemptResult): boolean {
+	return result.kind === attemptResultKinds.refused && result.outcome === outcomes.notRun;
+}
+
 /** Breaks off a streamed body at the deadline of its call; a faulty server may send without end. */
 function limitStream(body: Body, milliseconds: number): void {
 	if (isBuffered(body)) {
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -13,8 +13,10 @@
 	type MeasuringUse,
 } from '../measuring/index.js';
 import {isIsolated, isPoller, type Membership} from '../membership/index.js';
+import {computeTokenLifetime} from '../allowances/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {PlatformAdapter} from './adapter.js';
+import {createAllowanceClient} from './allowance-client.js';
 import {createCallerAdmission} from './caller-admission.js';
 import {createRelayRunner} from './call-runner.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
@@ -29,12 +31,15 @@
 import {createRoutesHolder, type RoutesHolder} from './active-routes.js';
 import {splitAddress, type RelaySettings} from './settings.js';
 import {createTableEra} from './table-era.js';
+import {allowanceTickMilliseconds, createTeamAllowances} from './team-allowances.js';
 
 /** Upper bound of the time to encode or decode one datagram. */
 const datagramMicroseconds = 20;
 /** A started node does not poll before it has learned of the others, or all started nodes would poll. */
 const pollerDelayMilliseconds = 2000;
 const responseBytesWeight = 0.1;
+/** Window for which the caps of teams hold, unless the settings name one. */
+const capWindowMilliseconds = 5000;
 
 /** Monotonic time in milliseconds; the clock of all components. */
 export const now = (): number => performance.now();
@@ -114,12 +119,33 @@
 		},
 		onAttemptEnd: metrics.recordAttemptEnd,
 	});
+	const capWindow = settings.teams?.capWindowMilliseconds ?? capWindowMilliseconds;
+	const allowances = createTeamAllowances({
+		nodeId: node.id,
+		windowMilliseconds: capWindow,
+		log,
+		random: Math.random,
+		now: () => ({monotonic: now(), wallClock: Date.now()}),
+		ask: createAllowanceClient({
+			socket: () => socket,
+			findMember: nodeId => membership?.find(nodeId),
+			maximumTimeoutMilliseconds: computeTokenLifetime(capWindow) / 2,
+			now,
+		}),
+		incarnationOf: nodeId =>
+			nodeId === node.id ? incarnation : membership?.find(nodeId)?.incarnation,
+		isIsolated: () =>
+			membership !== undefined && isIsolated(membership.lastPacketAt(), now()),
+		onDecision: metrics.recordAllowance,
+	});
+	const allowanceTimer = setInterval(allowances.tick, allowanceTickMilliseconds);
 	const routesHolder = createRoutesHolder({
 		decode: adapter.decodeRoutes,
 		log,
 		now,
 		onChange(version) {
 			membership?.publishVersion(routesTopic, version);
+			allowances.updateTeams(routesHolder.current()?.table.teams ?? []);
 			gate.discoverServer();
 		},
 	});
@@ -157,7 +183,8 @@
 			wallClock: Date.now,
 		}),
 		admitCaller: createCallerAdmission({isRecent: () => true}),
-		spendAllowance: async () => undefined,
+		spendAllowance: allowances.spend,
+		returnAllowance: allowances.giveBack,
 		service: server.service,
 		isParentRunning: gate.isParentRunning,
 		inboundLink,
@@ -178,6 +205,7 @@
 		members: membership?.all(),
 		membership: membership?.dump(),
 		measuring: budget.bytesByUse,
+		allowances: allowances.dump(),
 		droppedLines: log.countDropped(),
 	});
 	return {
@@ -209,8 +237,13 @@
 				joined.updateSelf({service: server.service, slots: announced?.slots ?? 0});
 			}
 
+			for (const member of joined.all()) {
+				allowances.updateMember(member);
+			}
+
 			joined.onMemberChange((member, previous) => {
 				isChosenPoller = undefined;
+				allowances.updateMember(member);
 				if (member.status !== previous?.status || member.service !== previous.service) {
 					const {nodeId, status, service, slots} = member;
 					log.info('member changed', {
@@ -230,6 +263,7 @@
 				now,
 				report: gate.report,
 				cancelAttempt: gate.cancelAttempt,
+				grantAllowance: allowances.grant,
 				incarnation,
 				trySpend: (use, bytes) => spendBudget(budget, metrics, use, bytes),
 				onError(error) {
@@ -257,6 +291,7 @@
 			callers.drain(endsAt);
 		},
 		close() {
+			clearInterval(allowanceTimer);
 			gate.close();
 			peers.close();
 		},
--- a/src/relay/gate-socket.ts
+++ b/src/relay/gate-socket.ts
@@ -1,10 +1,14 @@
 /**
- * UDP datagrams between ingresses and gates: load queries, and cancellations of attempts. Owns the
- * socket and the pending queries. Datagrams may be lost, so every query has a timeout.
+ * UDP datagrams between nodes: load queries, cancellations of attempts, and requests for a team's
+ * allowance. Owns the socket and the pending queries. Datagrams may be lost, so every query has a timeout.
  */
 import {createSocket} from 'node:dgram';
 import type {AttemptId} from '../call/index.js';
-import {GateDatagram} from '../generated/gate.js';
+import {
+	GateDatagram,
+	type AllowanceGrant,
+	type AllowanceRequest,
+} from '../generated/gate.js';
 import type {GateReport} from '../placing/index.js';
 import type {LoadQuestion} from './gate-types.js';
 
@@ -18,6 +22,8 @@
 	/** Answers load queries for this node's gate. */
 	readonly report: (question: LoadQuestion) => Promise<GateReport>;
 	readonly cancelAttempt: (id: AttemptId) => boolean;
+	/** Grants other nodes their parts of a team's allowance. */
+	readonly grantAllowance: (request: AllowanceRequest) => AllowanceGrant;
 	/** Incarnation of this node. */
 	readonly incarnation: number;
 	/** Spends from the measuring budget; false if the datagram must not be sent. */
@@ -41,6 +47,12 @@
 		id: AttemptId,
 		timeoutMilliseconds: number,
 	) => Promise<boolean | undefined>;
+	/** Asks the allocator of a team for tokens; undefined on a timeout. */
+	readonly requestAllowance: (
+		allocator: GateAddress,
+		request: AllowanceRequest,
+		timeoutMilliseconds: number,
+	) => Promise<AllowanceGrant | undefined>;
 	readonly close: () => void;
 };
 
@@ -110,7 +122,7 @@
 
 	function reply(number: number, body: Body, to: GateAddress): void {
 		const bytes = GateDatagram.encode({sequence: number, body}).finish();
-		const isFree = body.$case === 'cancelAnswer';
+		const isFree = body.$case !== 'loadAnswer';
 		if (isFree || options.trySpend('probeReply', bytes.length + datagramOverheadBytes)) {
 			send(to, bytes);
 		}
@@ -169,6 +181,11 @@
 				? answer.body.value.neverDispatched
 				: undefined;
 		},
+		async requestAllowance(allocator, request, timeoutMilliseconds) {
+			const body: Body = {$case: 'allowanceRequest', value: request};
+			const answer = await sendQuery(allocator, body, timeoutMilliseconds);
+			return answer?.body?.$case === 'allowanceGrant' ? answer.body.value : undefined;
+		},
 		close() {
 			for (const {timer, resolve} of pending.values()) {
 				clearTimeout(timer);
@@ -203,6 +220,11 @@
 		return Promise.resolve({$case: 'cancelAnswer', value: {neverDispatched}});
 	}
 
+	if (body.$case === 'allowanceRequest') {
+		const value = options.grantAllowance(body.value);
+		return Promise.resolve({$case: 'allowanceGrant', value});
+	}
+
 	return undefined;
 }
 
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -8,6 +8,8 @@
 	readonly recordCall: (end: CallEnd) => void;
 	readonly recordAttemptEnd: (end: string, milliseconds: number) => void;
 	readonly recordMeasuring: (use: string, bytes: number) => void;
+	/** Counts how a request of a team with a cap was decided. */
+	readonly recordAllowance: (decision: string) => void;
 	/** Not yet bound. */
 	readonly listener: Server;
 };
@@ -57,6 +59,12 @@
 		labelNames: ['use'],
 		registers,
 	});
+	const allowances = new Counter({
+		name: 'foxtailtide_allowance_requests_total',
+		help: 'Requests of teams with a cap, by how they were decided.',
+		labelNames: ['decision'],
+		registers,
+	});
 	createGauges(sources, registers);
 	return {
 		recordCall({status, outcome, milliseconds}) {
@@ -68,6 +76,9 @@
 		recordMeasuring(use, bytes) {
 			measuring.inc({use}, bytes);
 		},
+		recordAllowance(decision) {
+			allowances.inc({decision});
+		},
 		listener: createMetricsListener(registry, sources.dump),
 	};
 }
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -52,6 +52,13 @@
 		slack: z.number().min(0),
 		windowMilliseconds: milliseconds,
 	}),
+	/** How the limits on teams are kept. */
+	teams: z
+		.object({
+			/** Window for which the caps of teams hold. */
+			capWindowMilliseconds: milliseconds.optional(),
+		})
+		.optional(),
 	/** Cost of bytes, as a share of the value of a response that arrives in time. */
 	costs: z
 		.object({
