--- a/src/allowances/allocator-choice.ts
+++ b/src/allowances/allocator-choice.ts
@@ -36,7 +36,7 @@
 const settleMilliseconds = 500;
 /** A started node takes this long to learn of the others. */
 const joinMilliseconds = 1500;
-/** A view counts as steady while fewer members than this share were lost, or one. */
+/** A view counts as steady while no more than this share of the members was lost. */
 const steadyLossShare = 0.01;
 const maximumLosses = 1024;
 
@@ -184,30 +184,25 @@
 }
 
 /**
- * Tells whether a new allocator may grant.
+ * Computes from when on a new allocator may grant at the earliest.
  *
  * @param choice the choice
  * @param since when it became the allocator, in monotonic milliseconds
- * @param windowMilliseconds it waits no longer than this
- * @param now monotonic milliseconds
+ * @returns monotonic milliseconds
  */
-export function mayStartGranting(
-	choice: AllocatorChoice,
-	since: number,
-	windowMilliseconds: number,
-	now: number,
-): boolean {
-	const earliest = Math.max(
-		since + settleMilliseconds,
-		choice.startedAt + joinMilliseconds,
-	);
-	if (now < earliest) {
-		return false;
-	}
+export function earliestGrantAt(choice: AllocatorChoice, since: number): number {
+	return Math.max(since + settleMilliseconds, choice.startedAt + joinMilliseconds);
+}
 
+/**
+ * Tells whether the view of the members has settled, so that a new allocator may grant.
+ *
+ * @param choice the choice
+ * @param now monotonic milliseconds
+ */
+export function isSettled(choice: AllocatorChoice, now: number): boolean {
 	const recent = choice.losses.filter(at => now - at < settleMilliseconds).length;
-	const steadyLosses = Math.max(1, choice.members.size * steadyLossShare);
-	return recent <= steadyLosses || now >= since + windowMilliseconds;
+	return recent <= choice.members.size * steadyLossShare;
 }
 
 /**
--- a/src/allowances/team-allocators.ts
+++ b/src/allowances/team-allocators.ts
@@ -5,9 +5,10 @@
 import {
 	allocatorSince,
 	computeShare,
+	earliestGrantAt,
 	createAllocatorChoice,
 	findAllocator,
-	mayStartGranting,
+	isSettled,
 	restartAllocations,
 	setTeams,
 	updateMember,
@@ -62,7 +63,6 @@
 	readonly allocator: Allocator;
 	/** When this node became the allocator, in monotonic milliseconds. */
 	readonly since: number;
-	mayGrant: boolean;
 };
 
 /**
@@ -75,6 +75,8 @@
 	const {selfId, windowMilliseconds} = options;
 	const choice = createAllocatorChoice(selfId, options.startedAt);
 	const allocators = new Map<string, OpenAllocator>();
+	/** When this node became the allocator of teams that it was asked for before it may grant. */
+	const pending = new Map<string, number>();
 	let teams: ReadonlyMap<string, CappedTeam> | undefined;
 	let wasIsolated = false;
 	// A node that knows no other is not cut off from any.
@@ -82,18 +84,40 @@
 	const find = (team: string) => findAllocator(choice, team, isIsolated());
 	const share = () => computeShare(choice, isIsolated());
 
-	function open(team: CappedTeam, now: number): OpenAllocator {
-		const since = isIsolated() ? now : allocatorSince(choice, team.name);
+	/** A new allocator waits for a settled view, and counts all until then as granted by others. */
+	function open(team: CappedTeam, now: number): OpenAllocator | undefined {
+		const since = pending.get(team.name) ?? (isIsolated() ? now : undefined);
+		const becameAt = since ?? allocatorSince(choice, team.name);
+		const earliest = earliestGrantAt(choice, becameAt);
+		const latest = earliest + windowMilliseconds;
+		if (now < earliest || (now < latest && !isSettled(choice, now))) {
+			pending.set(team.name, becameAt);
+			return undefined;
+		}
+
+		const wasAsked = pending.delete(team.name);
 		const limit = computeGrantLimit(team, windowMilliseconds);
 		const span = computeGrantSpan(windowMilliseconds);
-		const allocator = createAllocator(span, limit, since);
-		const opened = {allocator, since, mayGrant: false};
+		const allocator = createAllocator(span, limit, wasAsked ? now : earliest);
+		const opened = {allocator, since: becameAt};
 		allocators.set(team.name, opened);
 		return opened;
 	}
 
+	function dropMoved<Value>(
+		held: Map<string, Value>,
+		sinceOf: (value: Value) => number,
+	): void {
+		for (const [name, value] of held) {
+			if (find(name) !== selfId || sinceOf(value) < allocatorSince(choice, name)) {
+				held.delete(name);
+			}
+		}
+	}
+
 	function restart(now: number): void {
 		allocators.clear();
+		pending.clear();
 		restartAllocations(choice, now);
 	}
 
@@ -102,19 +126,13 @@
 			const isFirst = teams === undefined;
 			teams = new Map(list.map(team => [team.name, team]));
 			setTeams(choice, [...teams.keys()], now, isFirst);
-			for (const name of allocators.keys()) {
-				if (!teams.has(name)) {
-					allocators.delete(name);
-				}
-			}
+			dropMoved(allocators, ({since}) => since);
+			dropMoved(pending, since => since);
 		},
 		updateMember(member, now) {
 			updateMember(choice, member, now);
-			for (const [name, {since}] of allocators) {
-				if (find(name) !== selfId || since < allocatorSince(choice, name)) {
-					allocators.delete(name);
-				}
-			}
+			dropMoved(allocators, ({since}) => since);
+			dropMoved(pending, since => since);
 		},
 		allocate(name, question, now) {
 			const team = teams?.get(name);
@@ -123,8 +141,7 @@
 			}
 
 			const held = allocators.get(name) ?? open(team, now);
-			held.mayGrant ||= mayStartGranting(choice, held.since, windowMilliseconds, now);
-			if (!held.mayGrant) {
+			if (held === undefined) {
 				return undefined;
 			}
 
