--- a/src/allowances/allocator.ts
+++ b/src/allowances/allocator.ts
@@ -70,6 +70,17 @@
 	return {granted, refused: createSlidingWindow(spanMilliseconds)};
 }
 
+/**
+ * Counts what others may have granted while this allocator was not in touch with them.
+ *
+ * @param allocator the allocator, changed in place
+ * @param limit tokens that the others could grant within the span of a grant
+ * @param now monotonic milliseconds
+ */
+export function assumeGranted(allocator: Allocator, limit: number, now: number): void {
+	fillEvenly(allocator.granted, limit, now);
+}
+
 /**
  * Decides how many tokens a node gets.
  *
--- a/src/allowances/sliding-window.ts
+++ b/src/allowances/sliding-window.ts
@@ -14,6 +14,7 @@
 
 /** Bound on the number of entries of a window. */
 const maximumEntries = 500;
+const evenSteps = 250;
 
 /**
  * Creates an empty window.
@@ -49,17 +50,24 @@
 }
 
 /**
- * Adds uses that are spread evenly over the span before a moment.
+ * Adds uses that are spread evenly over the span before a moment, among those that are there.
  *
  * @param window the window, changed in place
  * @param count number of uses
  * @param until end of the span, in monotonic milliseconds
  */
 export function fillEvenly(window: SlidingWindow, count: number, until: number): void {
-	const steps = maximumEntries / 2;
-	for (let step = 1; step <= steps; step += 1) {
-		const at = until - window.spanMilliseconds * (1 - step / steps);
-		addUses(window, count / steps, at);
+	const known = window.entries.splice(0);
+	const filled: Entry[] = [];
+	for (let step = 1; step <= evenSteps; step += 1) {
+		const at = until - window.spanMilliseconds * (1 - step / evenSteps);
+		filled.push({startedAt: at, latestAt: at, count: count / evenSteps});
+	}
+
+	window.total = 0;
+	const merged = [...known, ...filled].toSorted((a, b) => a.latestAt - b.latestAt);
+	for (const entry of merged) {
+		addUses(window, entry.count, entry.latestAt);
 	}
 }
 
--- a/src/allowances/team-allocators.ts
+++ b/src/allowances/team-allocators.ts
@@ -15,6 +15,7 @@
 	type MemberView,
 } from './allocator-choice.js';
 import {
+	assumeGranted,
 	createAllocator,
 	decideGrant,
 	type Allocator,
@@ -63,6 +64,8 @@
 	readonly allocator: Allocator;
 	/** When this node became the allocator, in monotonic milliseconds. */
 	readonly since: number;
+	/** Share of the limit at the last grant. */
+	share: number;
 };
 
 /**
@@ -99,7 +102,7 @@
 		const limit = computeGrantLimit(team, windowMilliseconds);
 		const span = computeGrantSpan(windowMilliseconds);
 		const allocator = createAllocator(span, limit, wasAsked ? now : earliest);
-		const opened = {allocator, since: becameAt};
+		const opened = {allocator, since: becameAt, share: share()};
 		allocators.set(team.name, opened);
 		return opened;
 	}
@@ -145,8 +148,14 @@
 				return undefined;
 			}
 
-			const limit = computeGrantLimit(team, windowMilliseconds) * share();
-			return decideGrant(held.allocator, question, limit, now);
+			const limit = computeGrantLimit(team, windowMilliseconds);
+			const regained = share() - held.share;
+			held.share = share();
+			if (regained > 0) {
+				assumeGranted(held.allocator, limit * regained, now);
+			}
+
+			return decideGrant(held.allocator, question, limit * held.share, now);
 		},
 		find,
 		restart,
