--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -13,8 +13,10 @@
 	type MeasuringUse,
 } from '../measuring/index.js';
 import {isIsolated, isPoller, type Membership} from '../membership/index.js';
+import {computeTokenLifetime} from '../allowances/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {PlatformAdapter} from './adapter.js';
+import {createAllowanceClient} from './allowance-client.js';
 import {createCallerAdmission} from './caller-admission.js';
 import {createRelayRunner} from './call-runner.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
@@ -32,12 +34,15 @@
 import type {RoutesReading} from './routes-follower.js';
 import {splitAddress, type RelaySettings} from './settings.js';
 import {createTableEra} from './table-era.js';
+import {allowanceTickMilliseconds, createTeamAllowances} from './team-allowances.js';
 
 /** Upper bound of the time to encode or decode one datagram. */
 const datagramMicroseconds = 20;
 /** A started node does not poll before it has learned of the others, or all started nodes would poll. */
 const pollerDelayMilliseconds = 2000;
 const responseBytesWeight = 0.1;
+/** Window for which the caps of teams hold, unless the settings name one. */
+const capWindowMilliseconds = 5000;
 
 /** Monotonic time in milliseconds; the clock of all components. */
 export const now = (): number => performance.now();
@@ -137,6 +142,26 @@
 		},
 		onAttemptEnd: metrics.recordAttemptEnd,
 	});
+	const capWindow = settings.teams?.capWindowMilliseconds ?? capWindowMilliseconds;
+	const allowances = createTeamAllowances({
+		nodeId: node.id,
+		windowMilliseconds: capWindow,
+		log,
+		random: Math.random,
+		now: () => ({monotonic: now(), wallClock: Date.now()}),
+		ask: createAllowanceClient({
+			socket: () => socket,
+			findMember: nodeId => membership?.find(nodeId),
+			maximumTimeoutMilliseconds: computeTokenLifetime(capWindow) / 2,
+			now,
+		}),
+		incarnationOf: nodeId =>
+			nodeId === node.id ? incarnation : membership?.find(nodeId)?.incarnation,
+		isIsolated: () =>
+			membership !== undefined && isIsolated(membership.lastPacketAt(), now()),
+		onDecision: metrics.recordAllowance,
+	});
+	const allowanceTimer = setInterval(allowances.tick, allowanceTickMilliseconds);
 	const routesHolder = createRoutesHolder({
 		decode: adapter.decodeRoutes,
 		log,
@@ -144,6 +169,7 @@
 		onChange(version) {
 			membership?.publishVersion(routesTopic, version);
 			gate.applyRoutes();
+			allowances.updateTeams(routesHolder.current()?.table.teams ?? []);
 			gate.discoverServer();
 		},
 	});
@@ -182,7 +208,8 @@
 			wallClock: Date.now,
 		}),
 		admitCaller: createCallerAdmission({isRecent: () => true}),
-		spendAllowance: async () => undefined,
+		spendAllowance: allowances.spend,
+		returnAllowance: allowances.giveBack,
 		service: server.service,
 		findParent: gate.findParent,
 		inboundLink,
@@ -204,6 +231,7 @@
 		members: membership?.all(),
 		membership: membership?.dump(),
 		measuring: budget.bytesByUse,
+		allowances: allowances.dump(),
 		droppedLines: log.countDropped(),
 	});
 	return {
@@ -236,8 +264,13 @@
 				joined.updateSelf({service: server.service, slots: announced?.slots ?? 0});
 			}
 
+			for (const member of joined.all()) {
+				allowances.updateMember(member);
+			}
+
 			joined.onMemberChange((member, previous) => {
 				isChosenPoller = undefined;
+				allowances.updateMember(member);
 				if (member.status !== previous?.status || member.service !== previous.service) {
 					const {nodeId, status, service, slots} = member;
 					log.info('member changed', {
@@ -257,6 +290,7 @@
 				now,
 				report: gate.report,
 				cancelAttempt: gate.cancelAttempt,
+				grantAllowance: allowances.grant,
 				incarnation,
 				trySpend: (use, bytes) => spendBudget(budget, metrics, use, bytes),
 				onError(error) {
@@ -285,6 +319,7 @@
 			callers.drain(endsAt);
 		},
 		close() {
+			clearInterval(allowanceTimer);
 			gate.close();
 			peers.close();
 		},
