Leave the failure domain in the share that pays; time-outs from measured round trips

Cause: a domain's sibling was never asked while the own domain had three gates or more; gates of a region 30 ms away never answered within the fixed 40 ms and counted as silent; every call that would wait asked other regions at once. Change: src/placing/round-trip.ts, region-link.ts and spill.ts decide; src/relay/distances.ts, leaving.ts and gate-queries.ts hold the state; setting placing.spill (on by default), costs.linkMegabitsBetweenRegions. Checked: types, tests of relay/placer and placing (16 passed).

--- a/src/placing/scoring.ts
+++ b/src/placing/scoring.ts
@@ -171,19 +171,47 @@
 
 	const expectedResponseMilliseconds =
 		roundTripMilliseconds + report.waitMilliseconds + report.durationMilliseconds;
+	const answered = valueOfResponse(expectedResponseMilliseconds, placement);
+	const cost = costOfDistance(distance, placement.bytes, costs);
+	const score = answered * (1 - report.failureShare) - cost;
+	return {...candidate, score, expectedResponseMilliseconds};
+}
+
+/**
+ * Estimates what a response is worth that is expected at some time.
+ *
+ * @param expectedMilliseconds when it is expected, from now
+ * @param placement the request
+ * @returns 1 for a certain response in time
+ */
+export function valueOfResponse(
+	expectedMilliseconds: number,
+	placement: PlacementRequest,
+): number {
 	const onTime = probabilityOfResponse(
-		expectedResponseMilliseconds,
+		expectedMilliseconds,
 		placement.targetMilliseconds,
 	);
 	const inTime = probabilityOfResponse(
-		expectedResponseMilliseconds,
+		expectedMilliseconds,
 		placement.deadlineMilliseconds,
 	);
-	const answered = onTime + Math.max(0, inTime - onTime) * lateScore;
+	return onTime + Math.max(0, inTime - onTime) * lateScore;
+}
+
+/**
+ * @param distance where the request would go
+ * @param bytes bytes of the request and its expected response
+ * @param costs cost of bytes
+ * @returns the cost of the way there and back, with the margin for another region
+ */
+export function costOfDistance(
+	distance: Distance,
+	bytes: number,
+	costs: ByteCosts,
+): number {
 	const margin = distance === distances.remote ? remoteMargin : 0;
-	const cost = costOf(distance, placement.bytes, costs) + margin;
-	const score = answered * (1 - report.failureShare) - cost;
-	return {...candidate, score, expectedResponseMilliseconds};
+	return costOf(distance, bytes, costs) + margin;
 }
 
 /** Probability that a response expected at one time comes before a limit; a logistic function. */
@@ -213,7 +241,8 @@
 	}
 }
 
-function compareScored(left: ScoredCandidate, right: ScoredCandidate): number {
+/** Orders scored gates, best first; nearly equal scores by when the response is expected. */
+export function compareScored(left: ScoredCandidate, right: ScoredCandidate): number {
 	return (
 		compareNumbers(roundScore(right.score), roundScore(left.score)) ||
 		compareNumbers(
--- a/src/relay/call-runner.ts
+++ b/src/relay/call-runner.ts
@@ -152,6 +152,8 @@
 			request: state.call.requestId,
 			service: state.call.service,
 			targetMilliseconds: Math.round(state.call.targetAt - now()),
+			distance: gates[0]?.distance,
+			...describeLeaving(gates[0]),
 			gates: gates.map(
 				({
 					nodeId,
@@ -280,6 +282,20 @@
 	);
 }
 
+/** Lists why a call leaves its failure domain or stays; nothing if a near gate takes it at once. */
+function describeLeaving(best: ScoredGate | undefined): Record<string, unknown> {
+	if (best?.leaving === undefined) {
+		return {};
+	}
+
+	const {reason, gain, share} = best.leaving;
+	return {
+		leaving: reason,
+		gain: Number(gain.toFixed(2)),
+		share: Number(share.toFixed(2)),
+	};
+}
+
 function describeResult(result: AttemptResult): string {
 	switch (result.kind) {
 		case attemptResultKinds.answered: {
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -12,7 +12,12 @@
 	type MeasuringBudget,
 	type MeasuringUse,
 } from '../measuring/index.js';
-import {isIsolated, isPoller, type Membership} from '../membership/index.js';
+import {
+	isIsolated,
+	isPoller,
+	memberStatuses,
+	type Membership,
+} from '../membership/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {PlatformAdapter} from './adapter.js';
 import {createCallerAdmission} from './caller-admission.js';
@@ -25,6 +30,8 @@
 import {createRelayPeerListener} from './peer-listener.js';
 import {createPeerClient} from './peer-client.js';
 import {createPlacer} from './placer.js';
+import {createRoundTrips} from './distances.js';
+import {createLeaving} from './leaving.js';
 import {routesTopic} from './peer-routes.js';
 import {createRoutesHolder, type RoutesHolder} from './active-routes.js';
 import {splitAddress, type RelaySettings} from './settings.js';
@@ -87,12 +94,31 @@
 	/** Whether this node is one of the pollers; undefined after a change of the members. */
 	let isChosenPoller: boolean | undefined;
 	const membersOf = (service: string) => membership?.membersOf(service) ?? [];
+	const location = {
+		nodeId: node.id,
+		region: node.region,
+		failureDomain: node.failureDomain,
+	};
+	const roundTrips = createRoundTrips(location);
+	const leavingDomain =
+		settings.placing.spill === 'on'
+			? createLeaving({
+					location,
+					costs: settings.costs,
+					roundTrips,
+					linkMegabits: () => findLinkPart(settings, membership),
+					now,
+					random: Math.random,
+				})
+			: undefined;
 	const metrics = createRelayMetrics({
 		gate: () => gate.state(),
 		routesVersion: () => routesHolder.current()?.table.version ?? 0,
 		tableEra: tableEra.current,
 		members: () => membership?.all().length ?? 0,
 		droppedLines: log.countDropped,
+		roundTrips: roundTrips.list,
+		leavingShares: () => leavingDomain?.shares() ?? new Map<string, number>(),
 		dump: () => dump(),
 	});
 	const gate = createRelayGate({
@@ -132,14 +158,17 @@
 	};
 	const peers = createPeerClient({socket: querySocket, log, now});
 	const placer = createPlacer({
-		location: {nodeId: node.id, region: node.region, failureDomain: node.failureDomain},
+		location,
 		gate,
 		socket: querySocket,
 		membersOf,
 		costs: settings.costs,
+		roundTrips,
+		leaving: leavingDomain,
 		now,
 		random: Math.random,
 		responseBytes: route => meanResponseBytes.get(route) ?? 0,
+		onPlaced: metrics.recordPlaced,
 	});
 	const callers = createCallerListener({
 		protocol,
@@ -178,6 +207,8 @@
 		members: membership?.all(),
 		membership: membership?.dump(),
 		measuring: budget.bytesByUse,
+		leavingShares: Object.fromEntries(leavingDomain?.shares() ?? []),
+		roundTrips: Object.fromEntries(roundTrips.list()),
 		droppedLines: log.countDropped(),
 	});
 	return {
@@ -263,6 +294,23 @@
 	};
 }
 
+/** This node's part of the link between two regions, in megabits per second. */
+function findLinkPart(
+	{costs, node}: RelaySettings,
+	membership: Membership | undefined,
+): number | undefined {
+	if (costs.linkMegabitsBetweenRegions === undefined) {
+		return undefined;
+	}
+
+	const nodes = membership
+		?.all()
+		.filter(
+			({region, status}) => region === node.region && status === memberStatuses.alive,
+		);
+	return costs.linkMegabitsBetweenRegions / Math.max(1, nodes?.length ?? 1);
+}
+
 function spendBudget(
 	budget: MeasuringBudget,
 	metrics: RelayMetrics,
--- a/src/relay/gate-socket.ts
+++ b/src/relay/gate-socket.ts
@@ -29,11 +29,15 @@
 export type TimedGateReport = GateReport & {readonly roundTripMilliseconds: number};
 
 export type GateSocket = {
-	/** Asks a gate to estimate wait and duration of a request; undefined on a timeout. */
+	/**
+	 * Asks a gate to estimate wait and duration of a request; undefined on a timeout. An answer
+	 * that comes later is passed to `onLateAnswer`.
+	 */
 	readonly queryLoad: (
 		gate: GateAddress,
 		question: LoadQuestion,
 		timeoutMilliseconds: number,
+		onLateAnswer?: (report: TimedGateReport) => void,
 	) => Promise<TimedGateReport | undefined>;
 	/** Asks a gate to cancel an attempt; true if it was never dispatched, undefined on a timeout. */
 	readonly requestCancellation: (
@@ -46,13 +50,18 @@
 
 type PendingQuery = {
 	readonly resolve: (datagram: GateDatagram | undefined) => void;
-	readonly timer: NodeJS.Timeout;
+	/** Receives an answer that comes after the timeout. */
+	readonly onLateAnswer: ((datagram: GateDatagram) => void) | undefined;
+	timer: NodeJS.Timeout;
+	isLate: boolean;
 };
 
 type Body = NonNullable<GateDatagram['body']>;
 
 /** Headers of UDP and IP, in bytes. */
 const datagramOverheadBytes = 28;
+/** After its timeout an answer still shows the round trip for this long. */
+const lateAnswerMilliseconds = 1000;
 const percent = 100;
 const maximumUint32 = 0xff_ff_ff_ff;
 
@@ -76,20 +85,43 @@
 		});
 	}
 
-	async function sendQuery(gate: GateAddress, body: Body, timeoutMilliseconds: number) {
+	async function sendQuery(
+		gate: GateAddress,
+		body: Body,
+		timeoutMilliseconds: number,
+		onLateAnswer?: (datagram: GateDatagram) => void,
+	) {
 		sequence = (sequence + 1) % maximumUint32;
 		const query = GateDatagram.encode({sequence, body}).finish();
 		return new Promise<GateDatagram | undefined>(resolve => {
 			const number = sequence;
 			const timer = setTimeout(() => {
-				pending.delete(number);
-				resolve(undefined);
+				expire(number);
 			}, timeoutMilliseconds);
-			pending.set(number, {resolve, timer});
+			pending.set(number, {resolve, onLateAnswer, timer, isLate: false});
 			send(gate, query);
 		});
 	}
 
+	/** Ends the wait for an answer; one that is awaited for its round trip is kept for a while. */
+	function expire(number: number): void {
+		const query = pending.get(number);
+		if (query === undefined) {
+			return;
+		}
+
+		if (query.onLateAnswer === undefined || query.isLate) {
+			pending.delete(number);
+		} else {
+			query.isLate = true;
+			query.timer = setTimeout(() => {
+				expire(number);
+			}, lateAnswerMilliseconds).unref();
+		}
+
+		query.resolve(undefined);
+	}
+
 	function receive(bytes: Uint8Array, from: GateAddress): void {
 		const datagram = decode(bytes);
 		const body = datagram?.body;
@@ -121,6 +153,10 @@
 		if (query) {
 			pending.delete(datagram.sequence);
 			clearTimeout(query.timer);
+			if (query.isLate) {
+				query.onLateAnswer?.(datagram);
+			}
+
 			query.resolve(datagram);
 		}
 	}
@@ -138,7 +174,7 @@
 	});
 
 	return {
-		async queryLoad(gate, question, timeoutMilliseconds) {
+		async queryLoad(gate, question, timeoutMilliseconds, onLateAnswer) {
 			if (!options.trySpend('probe', question.route.length + datagramOverheadBytes)) {
 				return undefined;
 			}
@@ -146,20 +182,16 @@
 			const sentAt = options.now();
 			const loadQuestion = {...question, rank: Math.max(0, Math.floor(question.rank))};
 			const body: Body = {$case: 'loadQuestion', value: loadQuestion};
-			const answer = await sendQuery(gate, body, timeoutMilliseconds);
-			if (answer?.body?.$case !== 'loadAnswer') {
-				return undefined;
-			}
-
-			const {accepting, waitMilliseconds, durationMilliseconds, failurePercent} =
-				answer.body.value;
-			return {
-				accepting,
-				waitMilliseconds,
-				durationMilliseconds,
-				failureShare: failurePercent / percent,
-				roundTripMilliseconds: options.now() - sentAt,
-			};
+			const readReport = (
+				answer: GateDatagram | undefined,
+			): TimedGateReport | undefined => readLoadAnswer(answer, options.now() - sentAt);
+			const answer = await sendQuery(gate, body, timeoutMilliseconds, late => {
+				const report = readReport(late);
+				if (report) {
+					onLateAnswer?.(report);
+				}
+			});
+			return readReport(answer);
 		},
 		async requestCancellation(gate, id, timeoutMilliseconds) {
 			const cancelQuestion = {...id, incarnation: gate.incarnation};
@@ -180,6 +212,25 @@
 	};
 }
 
+function readLoadAnswer(
+	answer: GateDatagram | undefined,
+	roundTripMilliseconds: number,
+): TimedGateReport | undefined {
+	if (answer?.body?.$case !== 'loadAnswer') {
+		return undefined;
+	}
+
+	const {accepting, waitMilliseconds, durationMilliseconds, failurePercent} =
+		answer.body.value;
+	return {
+		accepting,
+		waitMilliseconds,
+		durationMilliseconds,
+		failureShare: failurePercent / percent,
+		roundTripMilliseconds,
+	};
+}
+
 /** Ignores malformed datagrams; the query that they belong to times out. */
 function decode(bytes: Uint8Array): GateDatagram | undefined {
 	try {
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -1,12 +1,15 @@
 /** Counters and latency histograms of the relay, and the listener that serves them as text. */
 import {createServer, type Server} from 'node:http';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {Distance, LeavingReason} from '../placing/index.js';
 import type {CallEnd} from './caller-listener.js';
 import type {RelayGateState} from './gate-types.js';
 
 export type RelayMetrics = {
 	readonly recordCall: (end: CallEnd) => void;
 	readonly recordAttemptEnd: (end: string, milliseconds: number) => void;
+	/** Counts a call by where it is sent, and why it leaves its failure domain or stays. */
+	readonly recordPlaced: (distance: Distance, reason: LeavingReason | undefined) => void;
 	readonly recordMeasuring: (use: string, bytes: number) => void;
 	/** Not yet bound. */
 	readonly listener: Server;
@@ -19,6 +22,10 @@
 	readonly tableEra: () => number;
 	readonly members: () => number;
 	readonly droppedLines: () => number;
+	/** Measured round trips by failure domain, in milliseconds. */
+	readonly roundTrips: () => ReadonlyMap<string, number>;
+	/** Share of each route's calls that leave the failure domain. */
+	readonly leavingShares: () => ReadonlyMap<string, number>;
 	/** The whole state of the process, for a dump. */
 	readonly dump: () => unknown;
 };
@@ -26,6 +33,8 @@
 const bucketsMilliseconds = [
 	5, 10, 25, 50, 100, 150, 200, 300, 400, 600, 800, 1200, 2500,
 ];
+/** Reason of a call that a near gate takes at once. */
+const noQuestion = 'near';
 const statePath = '/state';
 
 /**
@@ -57,7 +66,31 @@
 		labelNames: ['use'],
 		registers,
 	});
+	const placed = new Counter({
+		name: 'foxtailtide_calls_placed_total',
+		help: 'Calls by the distance of the gate that they are sent to, and why they leave or stay.',
+		labelNames: ['distance', 'reason'],
+		registers,
+	});
 	createGauges(sources, registers);
+	createLabelledGauge(
+		{
+			name: 'foxtailtide_round_trip_milliseconds',
+			help: 'Measured round trip to another failure domain.',
+			label: 'failureDomain',
+		},
+		sources.roundTrips,
+		registers,
+	);
+	createLabelledGauge(
+		{
+			name: 'foxtailtide_leaving_share',
+			help: 'Share of the calls for which leaving the failure domain pays that leave it.',
+			label: 'route',
+		},
+		sources.leavingShares,
+		registers,
+	);
 	return {
 		recordCall({status, outcome, milliseconds}) {
 			calls.observe({status, outcome}, milliseconds);
@@ -65,6 +98,9 @@
 		recordAttemptEnd(end, milliseconds) {
 			gateEnds.observe({end}, milliseconds);
 		},
+		recordPlaced(distance, reason) {
+			placed.inc({distance, reason: reason ?? noQuestion});
+		},
 		recordMeasuring(use, bytes) {
 			measuring.inc({use}, bytes);
 		},
@@ -103,6 +139,30 @@
 	}
 }
 
+/** A gauge with one value for each value of its label. */
+function createLabelledGauge(
+	{
+		name,
+		help,
+		label,
+	}: {readonly name: string; readonly help: string; readonly label: string},
+	read: () => ReadonlyMap<string, number>,
+	registers: Registry[],
+): void {
+	const gauge = new Gauge({
+		name,
+		help,
+		labelNames: [label],
+		registers,
+		collect() {
+			gauge.reset();
+			for (const [key, value] of read()) {
+				gauge.set({[label]: key}, value);
+			}
+		},
+	});
+}
+
 function createMetricsListener(registry: Registry, dump: () => unknown): Server {
 	return createServer((request, response) => {
 		if (request.url === statePath) {
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -1,32 +1,40 @@
 /**
- * Chooses gates for a call: queries the load of a few gates in this node's region, and of gates in
- * other regions where that may pay off, and orders them by score. Remembers gates that do not
+ * Chooses gates for a call: queries the load of a few near gates, and of gates in other failure
+ * domains and regions where leaving pays, and orders them by score. Remembers gates that do not
  * answer, so that calls do not wait for them.
  */
 import {memberStatuses, type Member} from '../membership/index.js';
 import {
+	chargeForRoom,
+	compareScored,
 	distances,
-	shouldQueryRemoteGates,
+	doubtOfReport,
 	isGoodEnough,
 	isWorthSending,
 	orderForQueries,
 	scoreGates,
+	shouldQueryRemoteGates,
 	type ByteCosts,
-	type Candidate,
+	type CallBytes,
 	type Distance,
+	type LeavingDecision,
+	type LeavingReason,
+	type PlacementRequest,
 	type ScoredCandidate,
 } from '../placing/index.js';
 import {isBuffered} from '../call/index.js';
 import {isHome} from '../teams/index.js';
 import type {RelayCall} from './call.js';
+import {
+	distanceOf,
+	isSameRegion,
+	type NodeLocation,
+	type RoundTrips,
+} from './distances.js';
 import type {LoadQuestion, RelayGate} from './gate-types.js';
-import type {TimedGateReport, GateSocket} from './gate-socket.js';
-
-export type NodeLocation = {
-	readonly nodeId: string;
-	readonly region: string;
-	readonly failureDomain: string;
-};
+import {createGateQueries} from './gate-queries.js';
+import type {GateSocket} from './gate-socket.js';
+import type {Leaving} from './leaving.js';
 
 export type PlacerOptions = {
 	readonly location: NodeLocation;
@@ -34,18 +42,25 @@
 	readonly socket: Pick<GateSocket, 'queryLoad'>;
 	readonly membersOf: (service: string) => readonly Member[];
 	readonly costs: ByteCosts;
+	readonly roundTrips: RoundTrips;
+	/** Decides which calls leave the failure domain; undefined if that is switched off. */
+	readonly leaving: Leaving | undefined;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 	/** A number from 0 to below 1. */
 	readonly random: () => number;
 	/** Mean size of a route's responses, in bytes. */
 	readonly responseBytes: (route: string) => number;
+	/** Called with where a call is sent, and why it leaves or stays if that was a question. */
+	readonly onPlaced: (distance: Distance, reason: LeavingReason | undefined) => void;
 };
 
 /** A gate that may accept the call. */
 export type ScoredGate = ScoredCandidate & {
 	readonly member: Member;
 	readonly reportAgeMilliseconds: number;
+	/** Whether the call was to leave the failure domain; undefined if a near gate takes it at once. */
+	readonly leaving: Omit<LeavingDecision, 'failureDomains'> | undefined;
 };
 
 export type Placer = {
@@ -56,35 +71,20 @@
 	) => Promise<readonly ScoredGate[]>;
 };
 
-type GateObservation = {
-	report: TimedGateReport | undefined;
-	/** Monotonic time in milliseconds. */
-	heardAt: number;
-	/** Monotonic time in milliseconds. */
-	silentUntil: number;
-	roundTripMilliseconds: number;
+/** The near gates that were queried, and those of them that accept the call, best first. */
+type NearOrder = {
+	readonly queried: readonly Member[];
+	readonly scored: readonly ScoredGate[];
 };
 
-/** A healthy gate of the same region answers within a millisecond or two. */
-const sameRegionTimeoutMilliseconds = 15;
-/** Regions are about ten milliseconds apart. */
-const otherRegionTimeoutMilliseconds = 40;
 /** Gates queried besides the first, in this node's region and in others; two choices suffice. */
 const sampleSize = 2;
-/** Time during which calls do not wait for a gate that did not answer. */
-const silentGateBackoffMilliseconds = 1000;
+/** Gates of other failure domains that a call queries at once when it leaves. */
+const awaySampleSize = 3;
 /** Headers of a request and its response. */
 const headerBytes = 900;
 /** Assumed size of a streamed body. */
 const assumedStreamBytes = 1_048_576;
-/** Round trips assumed before the first was measured. */
-const initialRoundTripMilliseconds: Readonly<Record<Distance, number>> = {
-	[distances.own]: 0,
-	[distances.failureDomain]: 0.5,
-	[distances.region]: 2,
-	[distances.remote]: 20,
-};
-const roundTripWeight = 0.2;
 
 /**
  * Creates the placer.
@@ -93,90 +93,24 @@
  * @returns the placer, without any observations
  */
 export function createPlacer(options: PlacerOptions): Placer {
-	const {now, location} = options;
-	const observations = new Map<string, GateObservation>();
-
-	function findObservation(member: Member): GateObservation {
-		const known = observations.get(member.nodeId);
-		if (known) {
-			return known;
-		}
-
-		const created: GateObservation = {
-			report: undefined,
-			heardAt: Number.NEGATIVE_INFINITY,
-			silentUntil: Number.NEGATIVE_INFINITY,
-			roundTripMilliseconds: initialRoundTripMilliseconds[distanceOf(member, location)],
-		};
-		observations.set(member.nodeId, created);
-		return created;
-	}
-
-	async function queryGate(
-		member: Member,
-		question: LoadQuestion,
-		timeout: number,
-	): Promise<void> {
-		const observation = findObservation(member);
-		const query = options.socket.queryLoad(
-			{host: member.host, port: member.peerPort},
-			question,
-			timeout,
-		);
-		const settled = query.then(report => {
-			recordReport(observation, report);
-		});
-		if (now() < observation.silentUntil) {
-			return;
-		}
-
-		await settled;
-	}
-
-	function recordReport(
-		observation: GateObservation,
-		report: TimedGateReport | undefined,
-	): void {
-		if (report === undefined) {
-			observation.report = undefined;
-			observation.silentUntil = now() + silentGateBackoffMilliseconds;
-			return;
-		}
-
-		observation.report = report;
-		observation.heardAt = now();
-		observation.silentUntil = Number.NEGATIVE_INFINITY;
-		observation.roundTripMilliseconds +=
-			(report.roundTripMilliseconds - observation.roundTripMilliseconds) *
-			roundTripWeight;
-	}
-
-	async function queryLocal(member: Member, question: LoadQuestion): Promise<void> {
-		const report = await options.gate.report({...question, bodyBytes: 0});
-		recordReport(findObservation(member), {...report, roundTripMilliseconds: 0});
-	}
-
-	function describeCandidate(member: Member): Candidate {
-		const {report, roundTripMilliseconds} = findObservation(member);
-		const distance = distanceOf(member, location);
-		return {nodeId: member.nodeId, distance, report, roundTripMilliseconds};
-	}
-
-	async function querySameRegion(member: Member, question: LoadQuestion): Promise<void> {
-		await (member.nodeId === location.nodeId
-			? queryLocal(member, question)
-			: queryGate(member, question, sameRegionTimeoutMilliseconds));
-	}
+	const {now, location, leaving} = options;
+	const queries = createGateQueries({
+		...options,
+		onReport(member, report) {
+			leaving?.recordReport(member.service ?? '', member, report);
+		},
+	});
 
 	/** Scores the gates by the reports that they have just given. */
 	function score(members: readonly Member[], call: RelayCall): ScoredGate[] {
 		const byId = new Map(members.map(member => [member.nodeId, member]));
-		const candidates = members.map(member => describeCandidate(member));
-		const placement = createPlacement(call, options, now());
+		const candidates = members.map(member => queries.describeCandidate(member));
+		const placement = describePlacement(call);
 		return scoreGates(candidates, placement, options.costs).map(gate => ({
 			...gate,
 			member: byId.get(gate.nodeId)!,
-			reportAgeMilliseconds: now() - (observations.get(gate.nodeId)?.heardAt ?? now()),
+			reportAgeMilliseconds: queries.reportAge(gate.nodeId),
+			leaving: undefined,
 		}));
 	}
 
@@ -184,76 +118,162 @@
 		members: readonly Member[],
 		call: RelayCall,
 		question: LoadQuestion,
-	): Promise<{queried: readonly Member[]; scored: ScoredGate[]}> {
+	): Promise<NearOrder> {
 		const [nearest, ...others] = members;
 		if (nearest === undefined) {
 			return {queried: [], scored: []};
 		}
 
-		await querySameRegion(nearest, question);
+		await queries.query(nearest, question);
 		const first = score([nearest], call);
 		if (first[0] && isGoodEnough(first[0])) {
 			return {queried: [nearest], scored: first};
 		}
 
 		const sample = others.slice(0, sampleSize);
-		await Promise.all(sample.map(async member => querySameRegion(member, question)));
+		await Promise.all(sample.map(async member => queries.query(member, question)));
 		const queried = [nearest, ...sample];
 		return {queried, scored: score(queried, call)};
 	}
 
-	return {
-		async orderGates(call, excluded) {
-			const members = options
-				.membersOf(call.service)
-				.filter(
-					({status, region}) =>
-						status === memberStatuses.alive && isHome(call.homes, region),
-				);
-			const hasSameRegion = members.some(member => isSameRegion(member, location));
-			const candidates = orderForQueries(
-				members
-					.filter(({nodeId}) => !excluded.has(nodeId))
-					.map(member => ({member, distance: distanceOf(member, location)})),
-				options.random,
-			).map(({member}) => member);
-			const question: LoadQuestion = {
-				route: call.route,
-				rank: call.rank,
-				nested: call.nested,
-				targetMilliseconds: call.targetMilliseconds,
-				bodyBytes: countBodyBytes(call),
-			};
-			const sameRegion = candidates.filter(member => isSameRegion(member, location));
-			const {queried, scored} = await orderSameRegion(sameRegion, call, question);
-			const placement = createPlacement(call, options, now());
-			const otherRegions = candidates
-				.filter(member => !isSameRegion(member, location))
-				.slice(0, sampleSize);
-			if (
-				otherRegions.length === 0 ||
-				!shouldQueryRemoteGates(scored[0], placement, options.costs)
-			) {
-				return scored;
+	function describePlacement(call: RelayCall): PlacementRequest {
+		const {sent, received} = countBytes(call);
+		return {
+			targetMilliseconds: call.targetAt - now(),
+			deadlineMilliseconds: call.deadlineAt - now(),
+			bytes: sent + received,
+		};
+	}
+
+	function countBytes(call: RelayCall): CallBytes {
+		return {
+			sent: headerBytes + countBodyBytes(call),
+			received: options.responseBytes(call.route),
+		};
+	}
+
+	/** Queries gates at once; ends early when one near by takes the call at once. */
+	async function queryAway(
+		members: readonly Member[],
+		call: RelayCall,
+		question: LoadQuestion,
+	): Promise<void> {
+		let stopWaiting!: () => void;
+		const found = new Promise<void>(resolve => {
+			stopWaiting = resolve;
+		});
+		const answers = members.map(async member => {
+			await queries.query(member, question);
+			const [scored] = score([member], call);
+			if (isSameRegion(member, location) && scored && isGoodEnough(scored)) {
+				stopWaiting();
 			}
+		});
+		await Promise.race([found, Promise.all(answers)]);
+	}
 
-			await Promise.all(
-				otherRegions.map(async member =>
-					queryGate(member, question, otherRegionTimeoutMilliseconds),
-				),
+	/** Adds gates of the failure domains to which the call may leave. */
+	async function orderWithOthers(
+		near: NearOrder,
+		others: readonly Member[],
+		{call, question}: {readonly call: RelayCall; readonly question: LoadQuestion},
+		decide: Leaving['decide'],
+	): Promise<readonly ScoredGate[]> {
+		const placement = describePlacement(call);
+		const decision = decide({
+			route: call.route,
+			service: call.service,
+			bytes: countBytes(call),
+			placement,
+			own: near.scored[0],
+			members: others,
+		});
+		const {failureDomains, ...summary} = decision;
+		const note = (gate: ScoredGate): ScoredGate => ({...gate, leaving: summary});
+		if (failureDomains.length === 0) {
+			return near.scored.map(gate => note(gate));
+		}
+
+		const sample = sampleByDomain(others, failureDomains);
+		await queryAway(sample, call, question);
+		const charged = score([...near.queried, ...sample], call)
+			.map(gate => (isNear(gate) ? note(gate) : chargeForRoom(note(gate), placement)))
+			.toSorted(compareScored);
+		return pickAmongEqual(charged, placement, options.random);
+	}
+
+	async function order(
+		call: RelayCall,
+		excluded: ReadonlySet<string>,
+	): Promise<readonly ScoredGate[]> {
+		const members = options
+			.membersOf(call.service)
+			.filter(
+				({status, region}) =>
+					status === memberStatuses.alive && isHome(call.homes, region),
 			);
-			return score([...queried, ...otherRegions], call).filter(gate =>
-				isWorthSending(gate, hasSameRegion),
+		const hasSameRegion = members.some(member => isSameRegion(member, location));
+		const candidates = orderForQueries(
+			members
+				.filter(({nodeId}) => !excluded.has(nodeId))
+				.map(member => ({member, distance: distanceOf(member, location)})),
+			options.random,
+		).map(({member}) => member);
+		const question: LoadQuestion = {
+			route: call.route,
+			rank: call.rank,
+			nested: call.nested,
+			targetMilliseconds: call.targetMilliseconds,
+			bodyBytes: countBodyBytes(call),
+		};
+		const sameRegion = candidates.filter(member => isSameRegion(member, location));
+		const near = await orderSameRegion(sameRegion, call, question);
+		const isWanted = (gate: ScoredGate): boolean => isWorthSending(gate, hasSameRegion);
+		if (leaving && hasSameRegion) {
+			if (near.scored[0] && isGoodEnough(near.scored[0])) {
+				leaving.recordOwnRoom(call.route);
+				return near.scored;
+			}
+
+			const asked = new Set(near.queried);
+			const others = candidates.filter(
+				member => member.failureDomain !== location.failureDomain && !asked.has(member),
 			);
-		},
-	};
-}
+			const ordered = await orderWithOthers(
+				near,
+				others,
+				{call, question},
+				leaving.decide,
+			);
+			return ordered.filter(gate => isWanted(gate));
+		}
+
+		const otherRegions = candidates
+			.filter(member => !isSameRegion(member, location))
+			.slice(0, sampleSize);
+		if (
+			otherRegions.length === 0 ||
+			!shouldQueryRemoteGates(near.scored[0], describePlacement(call), options.costs)
+		) {
+			return near.scored;
+		}
+
+		await Promise.all(otherRegions.map(async member => queries.query(member, question)));
+		const ordered = score([...near.queried, ...otherRegions], call);
+		return ordered.filter(gate => isWanted(gate));
+	}
 
-function createPlacement(call: RelayCall, options: PlacerOptions, now: number) {
 	return {
-		targetMilliseconds: call.targetAt - now,
-		deadlineMilliseconds: call.deadlineAt - now,
-		bytes: headerBytes + countBodyBytes(call) + options.responseBytes(call.route),
+		async orderGates(call, excluded) {
+			const gates = await order(call, excluded);
+			const [best] = gates;
+			if (best) {
+				leaving?.recordSent(best.member.region, countBytes(call));
+				options.onPlaced(best.distance, best.leaving?.reason);
+			}
+
+			return gates;
+		},
 	};
 }
 
@@ -261,18 +281,49 @@
 	return isBuffered(body) ? body.length : assumedStreamBytes;
 }
 
-function isSameRegion(member: Member, location: NodeLocation): boolean {
-	return member.region === location.region;
+function isNear({distance}: ScoredCandidate): boolean {
+	return distance === distances.own || distance === distances.failureDomain;
 }
 
-function distanceOf(member: Member, location: NodeLocation): Distance {
-	if (member.nodeId === location.nodeId) {
-		return distances.own;
+/** Takes gates of several failure domains, the most promising first, so that one answer misleads less. */
+function sampleByDomain(
+	members: readonly Member[],
+	failureDomains: readonly string[],
+): Member[] {
+	const sample: Member[] = [];
+	const ofDomain = failureDomains.map(name =>
+		members.filter(({failureDomain}) => failureDomain === name),
+	);
+	for (let round = 0; round < sampleSize; round += 1) {
+		for (const gates of ofDomain) {
+			const gate = gates[round];
+			if (gate && sample.length < awaySampleSize) {
+				sample.push(gate);
+			}
+		}
 	}
 
-	if (member.failureDomain === location.failureDomain) {
-		return distances.failureDomain;
+	return sample;
+}
+
+/**
+ * Puts a random one first of the gates that are as good as the best, if that is far away: many
+ * nodes that see the same free gate would meet there.
+ */
+function pickAmongEqual(
+	gates: readonly ScoredGate[],
+	{targetMilliseconds}: PlacementRequest,
+	random: () => number,
+): readonly ScoredGate[] {
+	const [best] = gates;
+	if (best === undefined || isNear(best) || best.report === undefined) {
+		return gates;
 	}
 
-	return member.region === location.region ? distances.region : distances.remote;
+	const doubt = doubtOfReport(best.roundTripMilliseconds, targetMilliseconds);
+	const equal = gates.filter(
+		({distance, score}) => distance === best.distance && score >= best.score - doubt,
+	);
+	const chosen = equal[Math.floor(random() * equal.length)] ?? best;
+	return [chosen, ...gates.filter(gate => gate !== chosen)];
 }
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -57,8 +57,16 @@
 		.object({
 			perKilobyteBetweenDomains: z.number().min(0).default(0.01),
 			perKilobyteBetweenRegions: z.number().min(0).default(0.05),
+			/** Bandwidth between two regions, each way, shared by all nodes of a region. */
+			linkMegabitsBetweenRegions: z.number().positive().optional(),
 		})
 		.default({perKilobyteBetweenDomains: 0.01, perKilobyteBetweenRegions: 0.05}),
+	placing: z
+		.object({
+			/** Whether calls leave the failure domain in the share that pays. */
+			spill: z.enum(['on', 'off']).default('on'),
+		})
+		.default({spill: 'on'}),
 	/** Budget for measuring the load of servers. */
 	measuring: z
 		.object({
--- a/test/relay/placer.test.ts
+++ b/test/relay/placer.test.ts
@@ -6,6 +6,8 @@
 import {createRandom} from '../../src/load/random.js';
 import type {RelayCall} from '../../src/relay/call.js';
 import type {RelayGate} from '../../src/relay/gate-types.js';
+import {createRoundTrips} from '../../src/relay/distances.js';
+import {createLeaving} from '../../src/relay/leaving.js';
 import {createPlacer} from '../../src/relay/placer.js';
 
 const free: GateReport = {
@@ -68,11 +70,22 @@
 function createTestPlacer(
 	members: readonly Member[],
 	report: (member: Member) => GateReport,
+	hasSpill = false,
 ) {
 	const queried: string[] = [];
 	const random = createRandom(5);
+	const location = {nodeId: 'ingress', region: 'coast', failureDomain: 'coast-0'};
+	const costs = {perKilobyteBetweenDomains: 0.01, perKilobyteBetweenRegions: 0.05};
+	const roundTrips = createRoundTrips(location);
+	const now = () => performance.now();
+	const linkMegabits = () => undefined;
 	const placer = createPlacer({
-		location: {nodeId: 'ingress', region: 'coast', failureDomain: 'coast-0'},
+		location,
+		roundTrips,
+		leaving: hasSpill
+			? createLeaving({location, costs, roundTrips, linkMegabits, now, random})
+			: undefined,
+		onPlaced: () => undefined,
 		gate: unusedGate,
 		socket: {
 			async queryLoad({port}) {
@@ -82,8 +95,8 @@
 			},
 		},
 		membersOf: () => members,
-		costs: {perKilobyteBetweenDomains: 0.01, perKilobyteBetweenRegions: 0.05},
-		now: () => performance.now(),
+		costs,
+		now,
 		random,
 		responseBytes: () => 1000,
 	});
