--- a/src/placing/spill.ts
+++ b/src/placing/spill.ts
@@ -80,10 +80,10 @@
 
 /** A lower gain is within the error of the estimates. */
 const minimumGain = 0.05;
-/** Gain above the minimum from which on every request leaves. */
-const fullGain = 0.3;
-/** Below this value the own failure domain would hardly serve the request. */
-const hopelessValue = 0.05;
+/** Gain above the minimum from which on every request leaves, if views have no delay. */
+const fullGain = 0.15;
+/** Delay of the views that doubles the gain from which on every request leaves. */
+const cautionMilliseconds = 100;
 /** Value of a response that comes a whole latency target earlier. */
 const timeValue = 0.1;
 /** Value that a request takes from the other domain's callers where they wait long. */
@@ -170,7 +170,7 @@
 		return stay(promising.length > 0 ? leavingReasons.linkFull : leavingReasons.noGain);
 	}
 
-	const isHopeless = ownValue(question.own) < hopelessValue;
+	const isHopeless = !isServedInTime(question);
 	if (!isHopeless && random >= share) {
 		return stay(leavingReasons.withheld);
 	}
@@ -249,6 +249,14 @@
 	);
 }
 
+/** Whether the own failure domain would serve the request before its deadline. */
+function isServedInTime({own, placement}: LeavingQuestion): boolean {
+	return (
+		own?.report !== undefined &&
+		own.expectedResponseMilliseconds <= placement.deadlineMilliseconds
+	);
+}
+
 function ownValue(own: ScoredCandidate | undefined): number {
 	return Math.max(0, own?.score ?? 0);
 }
@@ -271,7 +279,8 @@
 	delayMilliseconds: number,
 	now: number,
 ): void {
-	const goal = Math.min(1, Math.max(0, (gain - minimumGain) / fullGain));
+	const range = fullGain * (1 + delayMilliseconds / cautionMilliseconds);
+	const goal = Math.min(1, Math.max(0, (gain - minimumGain) / range));
 	const time = followMilliseconds + 2 * delayMilliseconds;
 	const step = Math.min(maximumStep, 1 - Math.exp((state.updatedAt - now) / time));
 	state.share += (goal - state.share) * step;
--- a/test/relay/placer.test.ts
+++ b/test/relay/placer.test.ts
@@ -22,6 +22,9 @@
 	report: async () => free,
 };
 const regions = ['coast', 'plain', 'hills'];
+const location = {nodeId: 'ingress', region: 'coast', failureDomain: 'coast-0'};
+
+const isInOwnDomain = ({failureDomain}: Member): boolean => failureDomain === 'coast-0';
 
 /** Members spread over three regions with two failure domains each. */
 function createMembers(count: number): Member[] {
@@ -74,7 +77,6 @@
 ) {
 	const queried: string[] = [];
 	const random = createRandom(5);
-	const location = {nodeId: 'ingress', region: 'coast', failureDomain: 'coast-0'};
 	const costs = {perKilobyteBetweenDomains: 0.01, perKilobyteBetweenRegions: 0.05};
 	const roundTrips = createRoundTrips(location);
 	const now = () => performance.now();
@@ -146,3 +148,99 @@
 	expect(gates.length).toBeGreaterThan(0);
 	expect(gates.every(({member}) => member.region !== 'coast')).toEqual(true);
 });
+
+type SpillCase = {
+	readonly name: string;
+	readonly report: (member: Member) => GateReport;
+	readonly hasSpill: boolean;
+	/** Whether the call goes to a gate outside of the own failure domain. */
+	readonly leaves: boolean;
+	readonly mostQueries: number;
+};
+
+const late: GateReport = {...free, waitMilliseconds: 600};
+
+const spillCases: readonly SpillCase[] = [
+	{
+		name: 'a free domain is not left, and nothing else is queried',
+		report: member => (isInOwnDomain(member) ? free : late),
+		hasSpill: true,
+		leaves: false,
+		mostQueries: 1,
+	},
+	{
+		name: 'a full domain is left for the free one of the same region',
+		report: member => (member.failureDomain === 'coast-1' ? free : late),
+		hasSpill: true,
+		leaves: true,
+		mostQueries: 6,
+	},
+	{
+		name: 'switched off, the free domain of the same region is not found',
+		report: member => (member.failureDomain === 'coast-1' ? free : late),
+		hasSpill: false,
+		leaves: false,
+		mostQueries: 5,
+	},
+	{
+		name: 'a full domain is not left where all are full',
+		report: () => late,
+		hasSpill: true,
+		leaves: false,
+		mostQueries: 6,
+	},
+];
+
+for (const {name, report, hasSpill, leaves, mostQueries} of spillCases) {
+	test(name, async () => {
+		const {placer, queried} = createTestPlacer(createMembers(45), report, hasSpill);
+		// The first calls move the share and the views of the other domains.
+		for (let index = 0; index < 20; index += 1) {
+			await placer.orderGates(createCall(100), new Set());
+		}
+
+		queried.length = 0;
+		const [best] = await placer.orderGates(createCall(100), new Set());
+		expect(isInOwnDomain(best!.member)).toEqual(!leaves);
+		expect(queried.length).toBeLessThanOrEqual(mostQueries);
+	});
+}
+
+test('a gate that answers after the time-out teaches the round trip', async () => {
+	const members = createMembers(2);
+	const roundTrips = createRoundTrips(location);
+	const timeouts: number[] = [];
+	const placer = createPlacer({
+		location,
+		roundTrips,
+		leaving: undefined,
+		onPlaced: () => undefined,
+		gate: unusedGate,
+		socket: {
+			async queryLoad(_address, _question, timeout, onLateAnswer) {
+				timeouts.push(timeout);
+				const answer = {...free, roundTripMilliseconds: 140};
+				if (timeout >= answer.roundTripMilliseconds) {
+					return answer;
+				}
+
+				setImmediate(() => onLateAnswer?.(answer));
+				return undefined;
+			},
+		},
+		membersOf: () => members.slice(1),
+		costs: {perKilobyteBetweenDomains: 0.01, perKilobyteBetweenRegions: 0.05},
+		now: () => performance.now(),
+		random: () => 0,
+		responseBytes: () => 1000,
+	});
+	const first = await placer.orderGates(createCall(100), new Set());
+	expect(first[0]?.report).toEqual(undefined);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	const second = await placer.orderGates(createCall(100), new Set());
+	expect(second[0]?.report?.accepting).toEqual(true);
+	expect(timeouts).toEqual([100, 400]);
+	expect(roundTrips.list().get('plain-1')).toEqual(140);
+});
