--- a/test/placing/spill.test.ts
+++ b/test/placing/spill.test.ts
@@ -327,6 +327,6 @@
 		mayLeave: true,
 	});
 	expect(meanFlow).toBeGreaterThan(50);
-	// A wait of 375 ms leaves its own callers within their target of 800 ms.
-	expect(longestQueues[1]!).toBeLessThan(100);
+	// Its own callers wait no longer than one request takes.
+	expect(waitOf(longestQueues[1]!)).toBeLessThan(serviceMilliseconds);
 });
