--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -25,7 +25,6 @@
 	recordAttemptResult,
 	type FailureRate,
 } from '../placing/index.js';
-import {recordFirstAttempt, createRetryBudget, trySpendRetry} from '../repeats/index.js';
 import {
 	chooseRetryAfter,
 	estimateTransferTime,
@@ -42,6 +41,7 @@
 import {createGateQueue} from './gate-queue.js';
 import type {RelayGate, RelayGateOptions} from './gate-types.js';
 import {createLocalServer} from './local-server.js';
+import {createRetryAllowance} from './retry-allowance.js';
 import {createSpeedProbe} from './speed-probe.js';
 import {
 	createServerClient,
@@ -67,7 +67,7 @@
 	const {now, log, server} = options;
 	const client = createServerClient(options);
 	const attempts = createAttemptTable();
-	const retryBudget = createRetryBudget();
+	const retryAllowance = createRetryAllowance(options);
 	const entries = new Map<string, GateEntry>();
 	let failureRate: FailureRate = createFailureRate();
 	let leaving = false;
@@ -170,31 +170,19 @@
 			return;
 		}
 
-		const gates = options.countGates();
-		if (isRetry && !trySpendRetry(retryBudget, options.retryPolicy, gates, now())) {
-			const message = 'the retry budget is spent: try again later';
-			refuse(entry, createRefusal(refusalKinds.overloaded, message), {
-				budget: 'repeats',
-				gates,
-				repeats: retryBudget.retries.length,
-				firsts: retryBudget.firstAttempts.length,
-			});
+		const excess = retryAllowance.record(isRetry);
+		if (excess) {
+			refuse(entry, excess.refusal, excess.details);
 			return;
 		}
 
-		if (!isRetry) {
-			recordFirstAttempt(retryBudget, options.retryPolicy, now());
-		}
-
 		offer(entry);
 	}
 
 	function offer(entry: GateEntry): void {
 		const decision = queue.offer(entry.request);
 		if (decision.outcome === offerOutcomes.tooLate) {
-			const {waitMilliseconds} = decision;
-			const remaining = entry.request.deadlineAt - now();
-			const pause = chooseRetryAfter(waitMilliseconds, remaining, options.random());
+			const pause = choosePause(entry, decision.waitMilliseconds);
 			const message =
 				'the response would come too late: try again after the stated pause';
 			const refusal = createRefusal(refusalKinds.overloaded, message, pause);
@@ -207,6 +195,14 @@
 		}
 	}
 
+	function choosePause({request}: GateEntry, waitMilliseconds: number): number {
+		return chooseRetryAfter(
+			waitMilliseconds,
+			request.deadlineAt - now(),
+			options.random(),
+		);
+	}
+
 	function markUnreachable(reason: string, milliseconds: number): void {
 		localServer.markUnreachable(reason, milliseconds);
 		client.discardConnections();
@@ -233,11 +229,8 @@
 		const entry = entries.get(key);
 		if (entry) {
 			const message = 'the response would now come too late';
-			const remaining = entry.request.deadlineAt - now();
 			const pause =
-				waitMilliseconds === undefined
-					? undefined
-					: chooseRetryAfter(waitMilliseconds, remaining, options.random());
+				waitMilliseconds === undefined ? undefined : choosePause(entry, waitMilliseconds);
 			refuse(entry, createRefusal(refusalKinds.overloaded, message, pause), {
 				waitedMilliseconds: Math.round(now() - entry.request.arrivedAt),
 			});
