Ask the server for its speed only where the answer matters; answer truthfully at the deadline

Change: a load query asks the server only if its last report is older than half a slow period and the request would start at once, otherwise once a slow period. Waiting requests are rechecked every 25 ms while the server is slow and every 50 ms while no slot is free. Shortly before the deadline an ingress withdraws an attempt that still waits at its gate, and says 'not run' only if the gate says so. A gate whose connection broke is asked in the same way.

--- a/src/call/attempt-request.ts
+++ b/src/call/attempt-request.ts
@@ -76,6 +76,8 @@
 	readonly result: Promise<AttemptResult>;
 	/** Cancels the attempt; the result then settles as lost or refused. */
 	readonly cancel: () => void;
+	/** Withdraws the attempt if it still waits; true only if it never ran and never will. */
+	readonly withdraw?: () => Promise<boolean>;
 };
 
 /**
--- a/src/relay/call-runner.ts
+++ b/src/relay/call-runner.ts
@@ -58,6 +58,9 @@
 	finished: boolean;
 };
 
+/** How long before the deadline an attempt that still waits is withdrawn, besides the round trips. */
+const withdrawalLeadMilliseconds = 15;
+const withdrawalRoundTrips = 2;
 /** Share of the latency target after which a call that no gate accepted may be retried. */
 const noServerRetryShare = 1 / 3;
 
@@ -117,11 +120,40 @@
 				? options.gate.run(sent)
 				: options.peers.send(member, sent, gate.roundTripMilliseconds);
 		state.running = running;
+		const withdrawal = scheduleWithdrawal(state, running, gate.roundTripMilliseconds);
 		const result = await running.result;
+		clearTimeout(withdrawal);
 		state.running = undefined;
 		return result;
 	}
 
+	/** Withdraws an attempt that still waits at its gate shortly before the deadline. */
+	function scheduleWithdrawal(
+		state: CallState,
+		{withdraw}: RunningAttempt,
+		roundTripMilliseconds: number,
+	): NodeJS.Timeout | undefined {
+		if (withdraw === undefined || state.mayHaveRun) {
+			return undefined;
+		}
+
+		const lead =
+			withdrawalLeadMilliseconds + withdrawalRoundTrips * roundTripMilliseconds;
+		const remaining = state.call.deadlineAt - now();
+		return setTimeout(
+			() => {
+				void withdraw().then(isNotRun => {
+					if (isNotRun && !state.finished) {
+						state.running?.cancel();
+						state.refusal = createDeadlineRefusal();
+						finishWithoutResponse(state);
+					}
+				});
+			},
+			Math.max(0, remaining - lead),
+		);
+	}
+
 	function decide(state: CallState, result: AttemptResult): RelayStep {
 		recordResult(state, result);
 		const {call} = state;
@@ -182,7 +214,8 @@
 					refusalKinds.serverFailed,
 					'the connection to the server was lost: idempotent requests may be retried',
 				)
-			: (state.refusal ?? createNoServerRefusal(state.call, now(), options.random()));
+			: (replaceCancelled(state.refusal) ??
+				createNoServerRefusal(state.call, now(), options.random()));
 		finish(state, {kind: attemptResultKinds.refused, refusal, outcome, load: undefined});
 	}
 
@@ -219,10 +252,7 @@
 
 		finish(state, {
 			kind: attemptResultKinds.refused,
-			refusal: createRefusal(
-				refusalKinds.deadlineExceeded,
-				'no response came before the deadline: allow more time, or try again later',
-			),
+			refusal: createDeadlineRefusal(),
 			outcome: mayHaveRun ? outcomes.unknown : outcomes.notRun,
 			load: undefined,
 		});
@@ -271,6 +301,18 @@
 	state.mayHaveRun = true;
 }
 
+function createDeadlineRefusal(): Refusal {
+	return createRefusal(
+		refusalKinds.deadlineExceeded,
+		'no response came before the deadline: allow more time, or try again later',
+	);
+}
+
+/** A gate says `cancelled` where the ingress withdrew the attempt before the deadline. */
+function replaceCancelled(refusal: Refusal | undefined): Refusal | undefined {
+	return refusal?.kind === refusalKinds.cancelled ? createDeadlineRefusal() : refusal;
+}
+
 function createNoServerRefusal(call: RelayCall, now: number, random: number): Refusal {
 	const pause = call.targetMilliseconds * noServerRetryShare;
 	return createRefusal(
--- a/src/relay/gate-queue.ts
+++ b/src/relay/gate-queue.ts
@@ -50,8 +50,12 @@
 	readonly close: () => void;
 };
 
-/** Rechecks waiting requests this often: they may be too late, or the server's speed changed. */
+/** Rechecks waiting requests this often, since the limit on the request rate lets one start. */
 const checkIntervalMilliseconds = 15;
+/** Rechecks this often whether a slow server is fast again, which takes a request to it. */
+const slowCheckIntervalMilliseconds = 25;
+/** Rechecks this often while no slot is free: only the time of a waiting request can run out. */
+const fullCheckIntervalMilliseconds = 50;
 
 /**
  * Creates an empty queue without slots.
@@ -75,10 +79,20 @@
 		}
 
 		if (state.waiting.size > 0) {
-			scheduleCheck();
+			scheduleCheck(chooseCheckInterval(assignment));
 		}
 	}
 
+	function chooseCheckInterval({isDeferring}: SlotAssignment): number {
+		if (isDeferring) {
+			return slowCheckIntervalMilliseconds;
+		}
+
+		return state.running.size < state.limit
+			? checkIntervalMilliseconds
+			: fullCheckIntervalMilliseconds;
+	}
+
 	/** Processes the queue once per speed report, however many requests wait for it. */
 	function processAfterReport(): void {
 		if (isReportAwaited) {
@@ -93,11 +107,11 @@
 	}
 
 	/** One timer serves the whole queue; none runs while it is empty. */
-	function scheduleCheck(): void {
+	function scheduleCheck(interval: number): void {
 		checkTimer ??= setTimeout(() => {
 			checkTimer = undefined;
 			processRequests();
-		}, checkIntervalMilliseconds);
+		}, interval);
 	}
 
 	function applyAssignment({tooLate, started}: SlotAssignment): void {
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -16,6 +16,7 @@
 	formatAttemptId,
 	outcomes,
 	refusalKinds,
+	type AttemptId,
 	type AttemptResult,
 	type Refusal,
 } from '../call/index.js';
@@ -32,7 +33,7 @@
 	estimateWait,
 	estimateServiceTime,
 	hasRoomFor,
-	isSpeedStale,
+	needsSpeedForEstimate,
 	offerOutcomes,
 	recordSlowdown,
 	type OfferResult,
@@ -338,6 +339,19 @@
 		options.onSlotsChanged(slots);
 	}
 
+	function cancelAttemptById(id: AttemptId): boolean {
+		const entry = entries.get(formatAttemptId(id));
+		const cancellation = cancelAttempt(attempts, id);
+		if (cancellation === cancellationResults.withdrawn && entry) {
+			cancel(entry);
+		}
+
+		return (
+			cancellation === cancellationResults.neverDispatched ||
+			cancellation === cancellationResults.withdrawn
+		);
+	}
+
 	function applyUsableSlots(): void {
 		queue.changeSlots(leaving ? 0 : localServer.usableSlots());
 	}
@@ -355,10 +369,11 @@
 				cancel() {
 					cancel(entry);
 				},
+				withdraw: async () => cancelAttemptById(attempt.id),
 			};
 		},
 		async report(question) {
-			if (isAccepting() && isSpeedStale(queue.state().speed, now())) {
+			if (isAccepting() && needsSpeedForEstimate(queue.state(), now())) {
 				await speedProbe.refresh();
 			}
 
@@ -371,18 +386,7 @@
 				failureShare: currentFailureShare(failureRate, now()),
 			};
 		},
-		cancelAttempt(id) {
-			const entry = entries.get(formatAttemptId(id));
-			const cancellation = cancelAttempt(attempts, id);
-			if (cancellation === cancellationResults.withdrawn && entry) {
-				cancel(entry);
-			}
-
-			return (
-				cancellation === cancellationResults.neverDispatched ||
-				cancellation === cancellationResults.withdrawn
-			);
-		},
+		cancelAttempt: cancelAttemptById,
 		discoverServer() {
 			if (localServer.record() === undefined) {
 				void speedProbe.refresh();
--- a/src/relay/peer-client.ts
+++ b/src/relay/peer-client.ts
@@ -2,7 +2,10 @@
  * Sends attempts to the gates of other nodes over keep-alive connections. A gate acknowledges an
  * attempt at once. Without an acknowledgement the connection may be dead, and the gate is asked by
  * datagram to cancel the attempt. If it answers that the attempt was dispatched, the gate is alive,
- * and the attempt counts as lost only once its latency target has passed.
+ * and the attempt counts as lost only once its latency target has passed. A gate whose connection broke
+ * is asked in the same way, since an attempt that waited there has not run.
+ *
+ * Load pattern: connections that are reset, and gates that are cut off, while requests wait at them.
  */
 import {Agent} from 'node:http';
 import {
@@ -13,7 +16,7 @@
 	type AttemptResult,
 	type RunningAttempt,
 } from '../call/index.js';
-import {readPeerResult, startExchange} from '../http/index.js';
+import {exchangeKinds, readPeerResult, startExchange} from '../http/index.js';
 import type {Logger} from '../log/index.js';
 import type {Member} from '../membership/index.js';
 import type {RelayAttempt} from './call.js';
@@ -81,13 +84,29 @@
 			bufferLimitBytes: maximumBufferedResponseBytes,
 			onProcessing: acknowledge,
 		});
-		const response = exchange.result.then(result => {
+		let isCancelled = false;
+		const cancel = (): void => {
+			isCancelled = true;
+			exchange.cancel();
+		};
+
+		const response = exchange.result.then(async result => {
 			acknowledge();
-			return readPeerResult(result);
+			if (result.kind !== exchangeKinds.lost || isCancelled) {
+				return readPeerResult(result);
+			}
+
+			const neverDispatched = await requestCancellation(
+				member,
+				attempt,
+				roundTripMilliseconds,
+			);
+			logCancellation('connection to gate lost', member, attempt, neverDispatched);
+			return neverDispatched ? createNotReceivedResult() : readPeerResult(result);
 		});
 		const unacknowledged = new Promise<AttemptResult>(resolve => {
 			const giveUp = (result: AttemptResult): void => {
-				exchange.cancel();
+				cancel();
 				resolve(result);
 			};
 
@@ -97,6 +116,7 @@
 					attempt,
 					roundTripMilliseconds,
 				);
+				logCancellation('gate gave no receipt', member, attempt, neverDispatched);
 				const {result, waitMilliseconds} = resolveUnacknowledged(
 					neverDispatched,
 					attempt,
@@ -121,7 +141,18 @@
 				acknowledgementTimeoutMilliseconds + 2 * roundTripMilliseconds,
 			);
 		});
-		return {result: Promise.race([response, unacknowledged]), cancel: exchange.cancel};
+		return {
+			result: Promise.race([response, unacknowledged]),
+			cancel,
+			async withdraw() {
+				const neverDispatched = await requestCancellation(
+					member,
+					attempt,
+					roundTripMilliseconds,
+				);
+				return neverDispatched ?? false;
+			},
+		};
 	}
 
 	/** Asks the gate to cancel the attempt; undefined if it does not answer. */
@@ -136,17 +167,16 @@
 			incarnation: member.incarnation,
 		};
 		const timeout = cancellationTimeoutMilliseconds + 2 * roundTripMilliseconds;
-		const neverDispatched = await options.socket.requestCancellation(
-			gate,
-			attempt.id,
-			timeout,
-		);
-		log.warn('gate gave no receipt', {
-			request: attempt.call.requestId,
-			gate: member.nodeId,
-			neverDispatched,
-		});
-		return neverDispatched;
+		return options.socket.requestCancellation(gate, attempt.id, timeout);
+	}
+
+	function logCancellation(
+		message: string,
+		{nodeId}: Member,
+		{call}: RelayAttempt,
+		neverDispatched: boolean | undefined,
+	): void {
+		log.warn(message, {request: call.requestId, gate: nodeId, neverDispatched});
 	}
 
 	return {
@@ -172,17 +202,7 @@
 	now: number,
 ): {readonly result: AttemptResult | undefined; readonly waitMilliseconds: number} {
 	if (neverDispatched) {
-		const refusal = createRefusal(
-			refusalKinds.noServer,
-			'the gate did not receive the attempt',
-		);
-		const result: AttemptResult = {
-			kind: attemptResultKinds.refused,
-			refusal,
-			outcome: outcomes.notRun,
-			load: undefined,
-		};
-		return {result, waitMilliseconds: 0};
+		return {result: createNotReceivedResult(), waitMilliseconds: 0};
 	}
 
 	if (!call.idempotent) {
@@ -196,3 +216,13 @@
 	const isDispatched = neverDispatched === false;
 	return {result, waitMilliseconds: isDispatched ? Math.max(0, call.targetAt - now) : 0};
 }
+
+/** The result of an attempt of which its gate states that it was never dispatched. */
+function createNotReceivedResult(): AttemptResult {
+	return {
+		kind: attemptResultKinds.refused,
+		refusal: createRefusal(refusalKinds.noServer, 'the gate did not receive the attempt'),
+		outcome: outcomes.notRun,
+		load: undefined,
+	};
+}
--- a/src/waiting/index.ts
+++ b/src/waiting/index.ts
@@ -9,7 +9,6 @@
 export {
 	assumeBaselineSpeed,
 	currentSlowdown,
-	isSpeedStale,
 	recordSlowdown,
 	type ServerSpeed,
 } from './server-speed.js';
@@ -20,6 +19,7 @@
 	estimateServiceTime,
 	estimateWait,
 	finishRequest,
+	needsSpeedForEstimate,
 	offerOutcomes,
 	offerRequest,
 	withdrawRequest,
--- a/src/waiting/queue.ts
+++ b/src/waiting/queue.ts
@@ -21,6 +21,7 @@
 	estimateDuration,
 	estimateNominalDuration,
 	isSpeedStale,
+	needsReportForEstimate,
 	recordDuration,
 	shouldDefer,
 	type ServerSpeed,
@@ -222,6 +223,20 @@
 	return {started, tooLate, needsSpeedReport: false, isDeferring};
 }
 
+/**
+ * Tells whether the server should be asked for its speed before a request is estimated.
+ *
+ * @param state the gate's queue
+ * @param now monotonic time in milliseconds
+ * @returns whether what is known of its speed is too old
+ */
+export function needsSpeedForEstimate(state: QueueState, now: number): boolean {
+	const startsAtOnce =
+		state.running.size + state.waiting.size < state.limit &&
+		mayStart(state.startRate, now);
+	return needsReportForEstimate(state.speed, startsAtOnce, now);
+}
+
 /**
  * Estimates how long a request would wait if it came now: for a slot, for the rate that the server
  * takes, or deferred in a slow period of the server.
--- a/src/waiting/server-speed.ts
+++ b/src/waiting/server-speed.ts
@@ -16,6 +16,8 @@
 const freshReportMilliseconds = 12;
 /** Typical length of a slow period, in milliseconds. */
 const slowPeriodMilliseconds = 150;
+/** An estimate of a request that would start at once relies on a report up to this old, in milliseconds. */
+const estimateReportMilliseconds = slowPeriodMilliseconds / 2;
 /** A slowdown that lasts longer than this becomes the server's baseline, in milliseconds. */
 const persistentSlowdownMilliseconds = 3 * slowPeriodMilliseconds;
 /** Slowdown relative to the server's baseline from which on it counts as slow. */
@@ -148,6 +150,26 @@
 	return speed.reportsSpeed !== false && now - speed.reportedAt > freshReportMilliseconds;
 }
 
+/**
+ * Tells whether the server should be asked for its speed before a request is estimated. The start of
+ * the request asks again, so an estimate may rest on an older report than a start. The present speed
+ * says little about a request that would wait for a slot, and is asked for only to notice a server
+ * that hangs.
+ *
+ * @param speed what is known of the server
+ * @param startsAtOnce whether the request would get a slot at once
+ * @param now monotonic time in milliseconds
+ * @returns whether the last report is too old for the estimate
+ */
+export function needsReportForEstimate(
+	speed: ServerSpeed,
+	startsAtOnce: boolean,
+	now: number,
+): boolean {
+	const maximumAge = startsAtOnce ? estimateReportMilliseconds : slowPeriodMilliseconds;
+	return speed.reportsSpeed !== false && now - speed.reportedAt > maximumAge;
+}
+
 /**
  * Returns the slowdown to use in estimates.
  *
--- a/test/relay/peer-client.test.ts
+++ b/test/relay/peer-client.test.ts
@@ -1,7 +1,7 @@
 /** The result of an attempt that its gate did not acknowledge, for each answer of the gate. */
-import {createServer, type ServerResponse} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {expect} from 'earl';
 import type {Member} from '../../src/membership/index.js';
 import type {RelayAttempt} from '../../src/relay/call.js';
@@ -102,6 +102,29 @@
 	});
 }
 
+/** Listens as the gate of a member. */
+async function listenAsMember(server: Server, context: TestContext): Promise<Member> {
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	context.after(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return {
+		nodeId: 'gate',
+		incarnation: 1,
+		status: 'alive',
+		host: '127.0.0.1',
+		peerPort: (server.address() as AddressInfo).port,
+		controlPort: 1,
+		region: 'coast',
+		failureDomain: 'coast-a',
+		slots: 1,
+		revision: 1,
+	};
+}
+
 /** Lets the event loop process what was written before. */
 async function runEventLoop(): Promise<void> {
 	for (let turn = 0; turn < 50; turn += 1) {
@@ -111,18 +134,39 @@
 	}
 }
 
+const brokenConnections = [
+	['an attempt that waited at the gate has not run', true, 'refused'],
+	['a dispatched attempt is lost', false, 'lost'],
+	['an attempt is lost if the gate does not answer', undefined, 'lost'],
+] as const;
+
+for (const [name, neverDispatched, kind] of brokenConnections) {
+	test(`when the connection breaks, ${name}`, async context => {
+		const server = createServer((_request, response) => {
+			response.writeProcessing();
+			setImmediate(() => {
+				response.destroy();
+			});
+		});
+		const member = await listenAsMember(server, context);
+		const peers = createPeerClient({
+			socket: {requestCancellation: async () => neverDispatched},
+			log: {info: ignore, warn: ignore, error: ignore},
+			now: () => now,
+		});
+		const {result} = peers.send(member, createAttempt(false, now + 150), 1);
+		const ended = await result;
+		expect<string>(ended.kind).toEqual(kind);
+		peers.close();
+	});
+}
+
 test('the response is awaited if the acknowledgement comes during the cancellation', async context => {
 	let response: ServerResponse | undefined;
 	const server = createServer((_request, opened) => {
 		response = opened;
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	context.after(() => {
-		server.closeAllConnections();
-		server.close();
-	});
+	const member = await listenAsMember(server, context);
 	const peers = createPeerClient({
 		socket: {
 			async requestCancellation() {
@@ -138,18 +182,6 @@
 		log: {info: ignore, warn: ignore, error: ignore},
 		now: () => now,
 	});
-	const member: Member = {
-		nodeId: 'gate',
-		incarnation: 1,
-		status: 'alive',
-		host: '127.0.0.1',
-		peerPort: (server.address() as AddressInfo).port,
-		controlPort: 1,
-		region: 'coast',
-		failureDomain: 'coast-a',
-		slots: 1,
-		revision: 1,
-	};
 	// Its latency target has passed, so without an acknowledgement it would be lost at once.
 	const {result} = peers.send(member, createAttempt(true, now - 1), 1);
 	const ended = await result;
