Refuse at once what would wait in vain at a gate where waiting requests run out of time

Change: a request that would not even start before its target is refused at once while requests run out of time here. Run: tests of waiting, placing, relay/: 115 passed.

--- a/src/waiting/queue.ts
+++ b/src/waiting/queue.ts
@@ -58,6 +58,8 @@
 	readonly speed: ServerSpeed;
 	readonly startRate: StartRate;
 	readonly concurrency: ConcurrencyProfile;
+	/** Monotonic time at which the time of a waiting request last ran out, in milliseconds. */
+	lastExpiryAt: number;
 };
 
 export const offerOutcomes = {
@@ -107,6 +109,7 @@
 		speed: createServerSpeed(),
 		startRate: createStartRate(),
 		concurrency: createConcurrencyProfile(),
+		lastExpiryAt: Number.NEGATIVE_INFINITY,
 	};
 }
 
@@ -128,7 +131,10 @@
 	const estimates = {waitMilliseconds, durationMilliseconds};
 	const nominal = estimateNominal(state, request, now);
 	const finishAt = now + waitMilliseconds + nominal * requiredDurationShare;
-	if (finishAt > request.deadlineAt) {
+	if (
+		finishAt > request.deadlineAt ||
+		wouldExpire(state, request, waitMilliseconds, now)
+	) {
 		return {outcome: offerOutcomes.tooLate, ...estimates};
 	}
 
@@ -136,6 +142,24 @@
 	return {outcome: offerOutcomes.queued, ...estimates};
 }
 
+/**
+ * Tells whether a request would wait in vain: it would not start before its target, and starts after
+ * all that can still meet theirs. Where requests run out of time while they wait, so would this one.
+ */
+function wouldExpire(
+	state: QueueState,
+	request: GateRequest,
+	waitMilliseconds: number,
+	now: number,
+): boolean {
+	const remaining = request.deadlineAt - now;
+	return (
+		!request.nested &&
+		now + waitMilliseconds > request.targetAt &&
+		now - state.lastExpiryAt < remaining
+	);
+}
+
 /**
  * Ends a request that had started and assigns its slot to a waiting one.
  *
@@ -349,6 +373,7 @@
 			request.deadlineAt
 		) {
 			state.waiting.delete(request.id);
+			state.lastExpiryAt = now;
 			tooLate.push(request.id);
 		}
 	}
--- a/test/waiting/replay.test.ts
+++ b/test/waiting/replay.test.ts
@@ -8,6 +8,7 @@
 	createPoissonArrivals,
 	createRequest,
 	simulate,
+	type SimulatedEnd,
 } from './simulated-server.js';
 
 const seed = 20_261_204;
@@ -87,6 +88,27 @@
 	expect(computeOnTimeShare(urgentEnds)).toBeGreaterThanOrEqual(0.9);
 });
 
+/** Requests that were refused after they had waited beyond a share of their target. */
+function countHeldInVain(ends: readonly SimulatedEnd[], share: number): number {
+	return ends.filter(
+		({request, end, at}) =>
+			end === 'refused' && at - request.arrivedAt > request.targetMilliseconds * share,
+	).length;
+}
+
+test('under twice the load of few slots, most requests that cannot be served learn so at once', () => {
+	const random = createRandom(seed);
+	const few = {...noisyModel, slots: 4, knee: 3, kneeFactor: 1.7, slowShare: 0.25};
+	const arrivals = createPoissonArrivals(36, 60_000, random, (id, at) => ({
+		request: createRequest(id, at, {targetMilliseconds: 850, deadlineAt: at + 1500}),
+		duration: 93 + random() * 80,
+	}));
+	const {ends} = simulate(few, arrivals, random);
+	const refused = ends.filter(({end}) => end === 'refused');
+	expect(countHeldInVain(ends, 1 / 8)).toBeLessThanOrEqual(refused.length / 3);
+	expect(computeOnTimeShare(ends)).toBeGreaterThanOrEqual(0.4);
+});
+
 const windowMilliseconds = 4000;
 
 /** The most starts in any window. */
