--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -16,6 +16,7 @@
 	formatAttemptId,
 	outcomes,
 	refusalKinds,
+	type AttemptId,
 	type AttemptResult,
 	type Refusal,
 } from '../call/index.js';
@@ -31,7 +32,7 @@
 	estimateWait,
 	estimateServiceTime,
 	hasRoomFor,
-	isSpeedStale,
+	needsSpeedForEstimate,
 	offerOutcomes,
 	recordSlowdown,
 	type OfferResult,
@@ -345,6 +346,19 @@
 		options.onSlotsChanged(slots);
 	}
 
+	function cancelAttemptById(id: AttemptId): boolean {
+		const entry = entries.get(formatAttemptId(id));
+		const cancellation = cancelAttempt(attempts, id);
+		if (cancellation === cancellationResults.withdrawn && entry) {
+			cancel(entry);
+		}
+
+		return (
+			cancellation === cancellationResults.neverDispatched ||
+			cancellation === cancellationResults.withdrawn
+		);
+	}
+
 	function applyUsableSlots(): void {
 		queue.changeSlots(isClosed() ? 0 : localServer.usableSlots());
 	}
@@ -362,10 +376,11 @@
 				cancel() {
 					cancel(entry);
 				},
+				withdraw: async () => cancelAttemptById(attempt.id),
 			};
 		},
 		async report(question) {
-			if (isAccepting() && isSpeedStale(queue.state().speed, now())) {
+			if (isAccepting() && needsSpeedForEstimate(queue.state(), now())) {
 				await speedProbe.refresh();
 			}
 
@@ -379,20 +394,8 @@
 			};
 		},
 		cancelAttempt(id, keepWaiting) {
-			const entry = entries.get(formatAttemptId(id));
-			if (entry && keepWaiting) {
-				return false;
-			}
-
-			const cancellation = cancelAttempt(attempts, id);
-			if (cancellation === cancellationResults.withdrawn && entry) {
-				cancel(entry);
-			}
-
-			return (
-				cancellation === cancellationResults.neverDispatched ||
-				cancellation === cancellationResults.withdrawn
-			);
+			const isWaiting = keepWaiting && entries.has(formatAttemptId(id));
+			return isWaiting ? false : cancelAttemptById(id);
 		},
 		discoverServer() {
 			if (localServer.record() === undefined && !options.isEvacuated()) {
--- a/src/waiting/queue.ts
+++ b/src/waiting/queue.ts
@@ -26,6 +26,7 @@
 	estimateDuration,
 	estimateNominalDuration,
 	isSpeedStale,
+	needsReportForEstimate,
 	recordDuration,
 	shouldDefer,
 	type ServerSpeed,
@@ -54,6 +55,8 @@
 	readonly speed: ServerSpeed;
 	readonly startRate: StartRate;
 	readonly concurrency: ConcurrencyProfile;
+	/** Monotonic time at which the time of a waiting request last ran out, in milliseconds. */
+	lastExpiryAt: number;
 };
 
 export const offerOutcomes = {
@@ -103,6 +106,7 @@
 		speed: createServerSpeed(),
 		startRate: createStartRate(),
 		concurrency: createConcurrencyProfile(),
+		lastExpiryAt: Number.NEGATIVE_INFINITY,
 	};
 }
 
@@ -124,7 +128,10 @@
 	const estimates = {waitMilliseconds, durationMilliseconds};
 	const nominal = estimateNominal(state, request, now);
 	const finishAt = now + waitMilliseconds + nominal * requiredDurationShare;
-	if (finishAt > request.deadlineAt) {
+	if (
+		finishAt > request.deadlineAt ||
+		wouldExpire(state, request, waitMilliseconds, now)
+	) {
 		return {outcome: offerOutcomes.tooLate, ...estimates};
 	}
 
@@ -132,6 +139,24 @@
 	return {outcome: offerOutcomes.queued, ...estimates};
 }
 
+/**
+ * Tells whether a request would wait in vain: it would not start before its target, and starts after
+ * all that can still meet theirs. Where requests run out of time while they wait, so would this one.
+ */
+function wouldExpire(
+	state: QueueState,
+	request: GateRequest,
+	waitMilliseconds: number,
+	now: number,
+): boolean {
+	const remaining = request.deadlineAt - now;
+	return (
+		!request.nested &&
+		now + waitMilliseconds > request.targetAt &&
+		now - state.lastExpiryAt < remaining
+	);
+}
+
 /**
  * Ends a request that had started and assigns its slot to a waiting one.
  *
@@ -220,6 +245,20 @@
 	return {started, tooLate, needsSpeedReport: false, isDeferring};
 }
 
+/**
+ * Tells whether the server should be asked for its speed before a request is estimated.
+ *
+ * @param state the gate's queue
+ * @param now monotonic time in milliseconds
+ * @returns whether what is known of its speed is too old
+ */
+export function needsSpeedForEstimate(state: QueueState, now: number): boolean {
+	const startsAtOnce =
+		state.running.size + state.waiting.size < state.limit &&
+		mayStart(state.startRate, now);
+	return needsReportForEstimate(state.speed, startsAtOnce, now);
+}
+
 /**
  * Estimates how long a request would wait if it came now: for a slot, for the rate that the server
  * takes, or deferred in a slow period of the server.
@@ -333,6 +372,7 @@
 			request.deadlineAt
 		) {
 			state.waiting.delete(request.id);
+			state.lastExpiryAt = now;
 			tooLate.push(request.id);
 		}
 	}
