--- a/src/allowances/allocator-choice.ts
+++ b/src/allowances/allocator-choice.ts
@@ -22,6 +22,8 @@
 export type AllocatorChoice = {
 	readonly selfId: string;
 	readonly startedAt: number;
+	/** When this node first learned of another, in monotonic milliseconds. */
+	joinedAt: number | undefined;
 	/** Every known member except those that left as planned, with whether it is alive. */
 	readonly members: Map<string, boolean>;
 	/** Members that announced that they leave. */
@@ -34,7 +36,7 @@
 
 /** How long the view of the members must be steady before a new allocator grants. */
 const settleMilliseconds = 500;
-/** A started node takes this long to learn of the others. */
+/** A started node that hears of no other for this long is taken for the only one. */
 const joinMilliseconds = 1500;
 /** A view counts as steady while no more than this share of the members was lost. */
 const steadyLossShare = 0.01;
@@ -50,6 +52,7 @@
 	return {
 		selfId,
 		startedAt: now,
+		joinedAt: undefined,
 		members: new Map([[selfId, true]]),
 		left: new Set(),
 		aliveCount: 1,
@@ -123,6 +126,8 @@
 		return;
 	}
 
+	choice.joinedAt ??= now;
+
 	choice.aliveCount += isAlive ? 1 : -1;
 	if (!isAlive && !choice.left.has(nodeId)) {
 		choice.losses = [...choice.losses.slice(1 - maximumLosses), now];
@@ -191,7 +196,10 @@
  * @returns monotonic milliseconds
  */
 export function earliestGrantAt(choice: AllocatorChoice, since: number): number {
-	return Math.max(since + settleMilliseconds, choice.startedAt + joinMilliseconds);
+	const {joinedAt, startedAt} = choice;
+	const knowsOthersAt =
+		joinedAt === undefined ? startedAt + joinMilliseconds : joinedAt + settleMilliseconds;
+	return Math.max(since + settleMilliseconds, knowsOthersAt);
 }
 
 /**
