--- a/src/allowances/allocator.ts
+++ b/src/allowances/allocator.ts
@@ -6,6 +6,8 @@
  * its limit is refused at once, and told to return when there is room, spread over the time that
  * serving what was refused takes.
  */
+import type {GrantTerms} from './limits.js';
+import {refillPace, spendPace, timeUntilPace, type Pace} from './pace.js';
 import {
 	addUses,
 	countUses,
@@ -19,6 +21,7 @@
 export type Allocator = {
 	readonly granted: SlidingWindow;
 	readonly refused: SlidingWindow;
+	readonly pace: Pace;
 };
 
 /** What a node asks of an allocator. */
@@ -44,7 +47,7 @@
 /** Share of the free tokens that one node may get beyond what it wants. */
 const extraShare = 0.05;
 /** Extra tokens are granted only while this share of the limit is free. */
-const minimumFreeShare = 0.2;
+const minimumFreeShare = 0.1;
 /** Makes up for rounding in sums of fractions. */
 const tolerance = 1e-6;
 
@@ -67,7 +70,11 @@
 		fillEvenly(granted, limit, since);
 	}
 
-	return {granted, refused: createSlidingWindow(spanMilliseconds)};
+	return {
+		granted,
+		refused: createSlidingWindow(spanMilliseconds),
+		pace: {burst: 0, mean: 0, refilledAt: since},
+	};
 }
 
 /**
@@ -86,31 +93,38 @@
  *
  * @param allocator the allocator, changed in place
  * @param question what the node wants and reports
- * @param limit tokens within the span of a grant, as they apply now
+ * @param terms what may be granted, as it applies now
  * @param now monotonic milliseconds
  * @returns the grant
  */
 export function decideGrant(
 	allocator: Allocator,
 	question: AllowanceQuestion,
-	limit: number,
+	terms: GrantTerms,
 	now: number,
 ): AllowanceGrant {
-	const {granted: window, refused} = allocator;
+	const {granted: window, refused, pace} = allocator;
 	const {wanted} = question;
+	const {limit} = terms;
 	countUses(window, now);
 	takeBack(window, question.returned);
 	addUses(window, question.unbacked, now);
-	const free = Math.max(0, Math.floor(limit - countUses(window, now) + tolerance));
+	spendPace(pace, question.unbacked - question.returned);
+	const room = Math.min(limit - countUses(window, now), refillPace(pace, terms, now));
+	const free = Math.max(0, Math.floor(room + tolerance));
 	const granted = Math.min(wanted, free);
 	if (granted < wanted) {
 		addUses(window, granted, now);
+		spendPace(pace, granted);
 		addUses(refused, wanted - granted, now);
 		const perRequest = window.spanMilliseconds / Math.max(1, limit);
 		const spread = countUses(refused, now) * perRequest;
 		return {
 			granted,
-			roomMilliseconds: timeUntilLevel(window, limit - 1, now),
+			roomMilliseconds: Math.max(
+				timeUntilLevel(window, limit - 1, now),
+				timeUntilPace(pace, terms),
+			),
 			spreadMilliseconds: Math.min(window.spanMilliseconds, spread),
 		};
 	}
@@ -121,6 +135,7 @@
 			? 0
 			: Math.min(question.extra, Math.floor(left * extraShare));
 	addUses(window, granted + extra, now);
+	spendPace(pace, granted + extra);
 	return {granted: granted + extra, roomMilliseconds: 0, spreadMilliseconds: 0};
 }
 
--- a/src/allowances/limits.ts
+++ b/src/allowances/limits.ts
@@ -62,3 +62,38 @@
 	const share = unbackedShare + unbackedRequests / limit;
 	return windowMilliseconds * Math.min(maximumUnbackedShareOfWindow, share);
 }
+
+/** What an allocator may grant now. */
+export type GrantTerms = {
+	/** Tokens within the span of a grant. */
+	readonly limit: number;
+	/** Tokens that may be granted at once after a rest. */
+	readonly burst: number;
+	readonly perMillisecond: number;
+	/** Mean over a span in which the whole limit is granted. */
+	readonly meanPerMillisecond: number;
+};
+
+/** Few requests need no pace. */
+const unpacedRequests = 10;
+
+/**
+ * Computes what an allocator may grant.
+ *
+ * @param cap the team's cap
+ * @param windowMilliseconds length of the window
+ * @param share share of the cap that this part of the mesh may grant
+ */
+export function computeGrantTerms(
+	cap: Cap,
+	windowMilliseconds: number,
+	share: number,
+): GrantTerms {
+	const limit = computeGrantLimit(cap, windowMilliseconds) * share;
+	return {
+		limit,
+		burst: cap.burst * share + unpacedRequests,
+		perMillisecond: (cap.requestsPerSecond / millisecondsPerSecond) * share,
+		meanPerMillisecond: limit / computeGrantSpan(windowMilliseconds),
+	};
+}
--- a/src/allowances/team-allocators.ts
+++ b/src/allowances/team-allocators.ts
@@ -22,7 +22,12 @@
 	type AllowanceGrant,
 	type AllowanceQuestion,
 } from './allocator.js';
-import {computeGrantLimit, computeGrantSpan, type Cap} from './limits.js';
+import {
+	computeGrantLimit,
+	computeGrantSpan,
+	computeGrantTerms,
+	type Cap,
+} from './limits.js';
 
 /** A team with a cap. */
 export type CappedTeam = Cap & {readonly name: string};
@@ -155,7 +160,8 @@
 				assumeGranted(held.allocator, limit * regained, now);
 			}
 
-			return decideGrant(held.allocator, question, limit * held.share, now);
+			const terms = computeGrantTerms(team, windowMilliseconds, held.share);
+			return decideGrant(held.allocator, question, terms, now);
 		},
 		find,
 		restart,
--- a/test/allowances/mesh.test.ts
+++ b/test/allowances/mesh.test.ts
@@ -110,6 +110,15 @@
 	expect(accepted.length >= 60 * seconds * 0.97).toEqual(true);
 });
 
+test('a team that suddenly exceeds its cap is never left without', async () => {
+	const team = cap(60);
+	const {accepted} = await play(team, 60 * floodFactor, () => undefined);
+	for (let second = start; second < end; second += 1000) {
+		const count = accepted.filter(at => at >= second && at < second + 1000).length;
+		expect(count >= 60 * 0.9).toEqual(true);
+	}
+});
+
 for (const rate of [0.5, 8, 134]) {
 	test(`below a cap of ${rate} a second nothing is refused`, async () => {
 		const {refused} = await play(cap(rate), rate * 0.5, () => undefined);
