Leaving: read the part of a link once a decision, forget unused shares

Cause: the members were counted once for each destination, and shares of routes that were removed stayed.

--- a/src/relay/leaving.ts
+++ b/src/relay/leaving.ts
@@ -26,12 +26,7 @@
 	type RegionLink,
 	type ScoredCandidate,
 } from '../placing/index.js';
-import {
-	distanceOf,
-	isSameRegion,
-	type NodeLocation,
-	type RoundTrips,
-} from './distances.js';
+import {distanceOf, type NodeLocation, type RoundTrips} from './distances.js';
 
 export type LeavingOptions = {
 	readonly location: NodeLocation;
@@ -88,7 +83,18 @@
 		return known;
 	}
 
-	function describeDestination(member: Member, call: LeavingCall): Destination {
+	function forgetUnused(route: string): void {
+		const share = sharesByRoute.get(route);
+		if (share && share.share < negligibleShare) {
+			sharesByRoute.delete(route);
+		}
+	}
+
+	function describeDestination(
+		member: Member,
+		call: LeavingCall,
+		linkMegabits: number | undefined,
+	): Destination {
 		const distance = distanceOf(member, location);
 		return {
 			failureDomain: member.failureDomain,
@@ -96,13 +102,15 @@
 			roundTripMilliseconds: roundTrips.expect(member),
 			view: views.get(call.service)?.get(member.failureDomain),
 			hasLinkRoom:
-				distance !== distances.remote || hasLinkRoom(member.region, call.bytes),
+				distance !== distances.remote ||
+				fitsRegionLink(findLink(member.region), call.bytes, linkMegabits, now()),
 		};
 	}
 
-	function hasLinkRoom(region: string, bytes: CallBytes): boolean {
+	function findLink(region: string): RegionLink {
 		const link = links.get(region) ?? createRegionLink();
-		return fitsRegionLink(link, bytes, options.linkMegabits(), now());
+		links.set(region, link);
+		return link;
 	}
 
 	return {
@@ -110,16 +118,19 @@
 			const byDomain = new Map(
 				call.members.map(member => [member.failureDomain, member]),
 			);
+			const linkMegabits = options.linkMegabits();
 			const destinations = [...byDomain.values()].map(member =>
-				describeDestination(member, call),
+				describeDestination(member, call, linkMegabits),
 			);
 			const {own, placement} = call;
-			return decideLeaving(
+			const decision = decideLeaving(
 				findShare(call.route),
 				{own, placement, destinations, costs: options.costs},
 				now(),
 				options.random(),
 			);
+			forgetUnused(call.route);
+			return decision;
 		},
 		recordOwnRoom(route) {
 			const share = sharesByRoute.get(route);
@@ -128,9 +139,7 @@
 			}
 
 			recordOwnRoom(share, now());
-			if (share.share < negligibleShare) {
-				sharesByRoute.delete(route);
-			}
+			forgetUnused(route);
 		},
 		recordReport(service, member, report) {
 			if (member.failureDomain === location.failureDomain) {
@@ -144,13 +153,9 @@
 			ofService.set(failureDomain, view);
 		},
 		recordSent(region, bytes) {
-			if (isSameRegion({...location, region}, location)) {
-				return;
+			if (region !== location.region) {
+				recordCallBytes(findLink(region), bytes, now());
 			}
-
-			const link = links.get(region) ?? createRegionLink();
-			links.set(region, link);
-			recordCallBytes(link, bytes, now());
 		},
 		shares: () => new Map([...sharesByRoute].map(([route, {share}]) => [route, share])),
 	};
