Accept keys only while the routes are provably recent

Cause: a node that lost touch with the table, or was suspended, went on accepting keys that had been taken away. Change: src/proven-age holds the bound of the table's clock, proofs on the node's own clock and who asks next; the keeper in src/relay asks the table, gossip carries proofs, and nodes tell each other of the table's clock by question and answer. Without teams.revocationMilliseconds no keeper exists. Run: tests of proven-age, relay, platform/store, membership/versions.

--- a/src/membership/codec.ts
+++ b/src/membership/codec.ts
@@ -49,6 +49,7 @@
 		standings: [],
 		versions: [],
 		announcements: [],
+		proofs: [],
 		from: packet.from,
 		body: toWireBody(packet.body),
 	};
--- a/src/membership/dump.ts
+++ b/src/membership/dump.ts
@@ -19,6 +19,7 @@
 		members: [...roster.records.values()].map(({member}) => member),
 		suspicions: Object.fromEntries(state.suspicions),
 		topics: Object.fromEntries(state.topics),
+		proofs: Object.fromEntries(state.proofs),
 		announcements: [...state.announcements].map(([id, {expiresAt}]) => ({id, expiresAt})),
 		wantedServices: [...state.wantedServices],
 		queuedRumours: rumourQueue.entries.size,
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -7,9 +7,10 @@
 	type MembershipError,
 	type MembershipOptions,
 	type SelfDescription,
+	type ProofListener,
 	type VersionListener,
 } from './membership.js';
-export {type Address} from './message.js';
+export {type Address, type TopicProof} from './message.js';
 export {defaultParameters, type MembershipParameters} from './parameters.js';
 export {isIsolated, isPoller} from './pollers.js';
 export {createSeedTable, type SeedTable} from './seed-table.js';
--- a/src/membership/listeners.ts
+++ b/src/membership/listeners.ts
@@ -4,15 +4,18 @@
 import {
 	type AnnouncementListener,
 	type MemberListener,
+	type ProofListener,
 	type VersionListener,
 } from './membership.js';
 
 export type Listeners = {
 	readonly onMemberChange: (listener: MemberListener) => void;
 	readonly onVersion: (listener: VersionListener) => void;
+	readonly onProof: (listener: ProofListener) => void;
 	readonly onAnnouncement: (listener: AnnouncementListener) => void;
 	readonly notifyMember: MemberListener;
 	readonly notifyVersion: VersionListener;
+	readonly notifyProof: ProofListener;
 	readonly notifyAnnouncement: AnnouncementListener;
 	readonly logSuperseded: (nodeId: string, incarnation: number) => void;
 	/** Logs an unexpected error in the handling of an event. */
@@ -28,13 +31,16 @@
 	const log = consola.withTag('membership');
 	const memberListeners = createListenerSet<[Member, Member | undefined]>(log.error);
 	const versionListeners = createListenerSet<[string, number, string]>(log.error);
+	const proofListeners = createListenerSet<Parameters<ProofListener>>(log.error);
 	const announcementListeners = createListenerSet<[string, Uint8Array]>(log.error);
 	return {
 		onMemberChange: memberListeners.add,
 		onVersion: versionListeners.add,
+		onProof: proofListeners.add,
 		onAnnouncement: announcementListeners.add,
 		notifyMember: memberListeners.notify,
 		notifyVersion: versionListeners.notify,
+		notifyProof: proofListeners.notify,
 		notifyAnnouncement: announcementListeners.notify,
 		logFailure(error) {
 			log.error('event not handled', error);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,6 +1,7 @@
 /** Types of the membership API that the rest of a node uses. */
 import {type CreateTransport} from './transport.js';
 import {type Member} from './member.js';
+import {type TopicProof} from './message.js';
 import {type MembershipParameters} from './parameters.js';
 import {type SeedRow} from './seeds.js';
 import {type SelfPatch} from './state.js';
@@ -9,6 +10,8 @@
 export type MemberListener = (member: Member, previous: Member | undefined) => void;
 /** Called when the version of a topic increases; `from` is the id of the node that sent it. */
 export type VersionListener = (topic: string, version: number, from: string) => void;
+/** Called when another node's proof of a topic is newer than the known one. */
+export type ProofListener = (topic: string, proof: TopicProof) => void;
 /** Called once for each announcement of another node. */
 export type AnnouncementListener = (id: string, payload: Uint8Array) => void;
 
@@ -32,6 +35,11 @@
 	readonly onVersion: (listener: VersionListener) => void;
 	/** Returns the highest known version of a topic. */
 	readonly versionOf: (topic: string) => number | undefined;
+	/** Gossips a proof that a version was the newest; one that is not newer than the known is ignored. */
+	readonly publishProof: (topic: string, proof: TopicProof) => void;
+	readonly onProof: (listener: ProofListener) => void;
+	/** Returns the newest known proof of a topic. */
+	readonly proofOf: (topic: string) => TopicProof | undefined;
 	/** Gossips an announcement to every node; `payload` holds at most 600 bytes. */
 	readonly announce: (
 		id: string,
--- a/src/membership/message.ts
+++ b/src/membership/message.ts
@@ -10,11 +10,21 @@
 	readonly port: number;
 };
 
+/** States that a version of a topic, or a higher one, was the newest at a time of the table. */
+export type TopicProof = {
+	readonly version: number;
+	/** Era of the table; times of different eras cannot be compared. */
+	readonly era: number;
+	/** The table's steady clock in milliseconds. */
+	readonly provenAt: number;
+};
+
 /** An update that is gossiped from member to member. */
 export type Rumour =
 	| {readonly kind: 'detail'; readonly record: MemberRecord}
 	| {readonly kind: 'standing'; readonly nodeId: string; readonly standing: Standing}
 	| {readonly kind: 'version'; readonly topic: string; readonly version: number}
+	| ({readonly kind: 'proof'; readonly topic: string} & TopicProof)
 	| {
 			readonly kind: 'announcement';
 			readonly id: string;
@@ -85,6 +95,10 @@
 			return `version:${rumour.topic}`;
 		}
 
+		case 'proof': {
+			return `proof:${rumour.topic}`;
+		}
+
 		case 'announcement': {
 			return `announcement:${rumour.id}`;
 		}
--- a/src/membership/rumour-codec.ts
+++ b/src/membership/rumour-codec.ts
@@ -48,6 +48,12 @@
 			break;
 		}
 
+		case 'proof': {
+			const {topic, version, era, provenAt} = rumour;
+			wire.proofs.push({topic, version, era, provenAt});
+			break;
+		}
+
 		case 'announcement': {
 			wire.announcements.push({
 				id: rumour.id,
@@ -108,6 +114,10 @@
 		yield {kind: 'version', topic: readName(topic), version};
 	}
 
+	for (const {topic, version, era, provenAt} of wire.proofs) {
+		yield {kind: 'proof', topic: readName(topic), version, era, provenAt};
+	}
+
 	for (const {id, payload, remainingMilliseconds} of wire.announcements) {
 		yield {kind: 'announcement', id: readName(id), payload, remainingMilliseconds};
 	}
--- a/src/membership/rumour-queue.ts
+++ b/src/membership/rumour-queue.ts
@@ -12,6 +12,9 @@
 	readonly size: RumourSize;
 };
 
+/** A proof is replaced by a newer one soon, so that it need not reach every member. */
+const sparedProofTransmissions = 4;
+
 /** Rumours by subject, and by the number of times they were sent, newest last. */
 export type RumourQueue = {
 	readonly entries: Map<string, QueuedRumour>;
@@ -66,7 +69,8 @@
 	}
 
 	for (const {entry, sendCount} of moved.toReversed()) {
-		if (sendCount >= transmissions) {
+		const isProof = entry.rumour.kind === 'proof';
+		if (sendCount >= transmissions - (isProof ? sparedProofTransmissions : 0)) {
 			queue.entries.delete(entry.subject);
 			continue;
 		}
--- a/src/membership/send.ts
+++ b/src/membership/send.ts
@@ -12,8 +12,8 @@
 /**
  * Sends a probe, an answer to one, or a notice of a suspicion or a stop. It may use the whole
  * budget, including the reserve for such packets; piggybacked rumours may not use the reserve. Every
- * such packet states the versions of a few topics, so that a member that missed the rumour of one
- * learns of it with its next probe, not only with its next sync.
+ * such packet states the versions and proofs of a few topics, so that a member that missed the rumour
+ * of one learns of it with its next probe, not only with its next sync.
  *
  * @param context context of the event
  * @param address destination
@@ -90,13 +90,22 @@
 	return budget.tokens - parameters.probeReserveBytes;
 }
 
-/** Lists the versions if there are only a few; the digest of a sync covers more. */
-function listFewVersions({topics}: MembershipState): Rumour[] {
-	if (topics.size > maximumStatedTopics) {
-		return [];
+/** Lists the versions and proofs if there are only a few; the digest of a sync covers more versions. */
+function listFewVersions({topics, proofs}: MembershipState): Rumour[] {
+	const rumours: Rumour[] = [];
+	if (topics.size <= maximumStatedTopics) {
+		for (const [topic, version] of topics) {
+			rumours.push({kind: 'version', topic, version});
+		}
+	}
+
+	if (proofs.size <= maximumStatedTopics) {
+		for (const [topic, proof] of proofs) {
+			rumours.push({kind: 'proof', topic, ...proof});
+		}
 	}
 
-	return [...topics].map(([topic, version]) => ({kind: 'version', topic, version}));
+	return rumours;
 }
 
 /** Takes the queued rumours that fit beside `bareBytes` without using the reserves. */
--- a/src/membership/state-machine.ts
+++ b/src/membership/state-machine.ts
@@ -8,6 +8,7 @@
 import {
 	expireAnnouncements,
 	raiseVersion,
+	renewProof,
 	addAnnouncement,
 } from './versions-and-announcements.js';
 import {
@@ -81,6 +82,11 @@
 			break;
 		}
 
+		case 'publishProof': {
+			renewProof(context, event.topic, event.proof, true);
+			break;
+		}
+
 		case 'announce': {
 			const {id, payload, lifetimeMilliseconds: remainingMilliseconds} = event;
 			const announcement = {
@@ -204,6 +210,11 @@
 			break;
 		}
 
+		case 'proof': {
+			renewProof(context, rumour.topic, rumour, false);
+			break;
+		}
+
 		case 'announcement': {
 			addAnnouncement(context, rumour, false);
 			break;
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -5,7 +5,7 @@
 import {createRumourQueue, type RumourQueue} from './rumour-queue.js';
 import {createByteBudget, type ByteBudget} from './budget.js';
 import {type Member, type MemberStatus} from './member.js';
-import {type Address, type Packet, type Rumour} from './message.js';
+import {type Address, type Packet, type Rumour, type TopicProof} from './message.js';
 import {type MembershipParameters} from './parameters.js';
 import {createRecord, type MemberRecord, type Standing} from './record.js';
 import {createRoster, putRecord, type Roster} from './roster.js';
@@ -81,6 +81,8 @@
 	readonly priorityProbes: Map<string, Standing>;
 	readonly relayedProbes: Map<number, RelayedProbe>;
 	readonly topics: Map<string, number>;
+	/** The newest proof of each topic that has one. */
+	readonly proofs: Map<string, TopicProof>;
 	readonly announcements: Map<string, StoredAnnouncement>;
 	readonly wantedServices: Set<string>;
 	readonly counters: Counters;
@@ -121,6 +123,11 @@
 	| {readonly kind: 'seeds'; readonly seeds: readonly Address[]}
 	| {readonly kind: 'updateSelf'; readonly patch: SelfPatch}
 	| {readonly kind: 'publishVersion'; readonly topic: string; readonly version: number}
+	| {
+			readonly kind: 'publishProof';
+			readonly topic: string;
+			readonly proof: TopicProof;
+	  }
 	| {
 			readonly kind: 'announce';
 			readonly id: string;
@@ -145,6 +152,11 @@
 			/** Id of the node that sent the version. */
 			readonly from: string;
 	  }
+	| {
+			readonly kind: 'proofRenewed';
+			readonly topic: string;
+			readonly proof: TopicProof;
+	  }
 	| {readonly kind: 'announced'; readonly id: string; readonly payload: Uint8Array}
 	| {readonly kind: 'settled'}
 	| {readonly kind: 'superseded'; readonly incarnation: number}
@@ -185,6 +197,7 @@
 		priorityProbes: new Map(),
 		relayedProbes: new Map(),
 		topics: new Map(),
+		proofs: new Map(),
 		announcements: new Map(),
 		wantedServices: new Set(),
 		counters: createCounters(),
--- a/src/membership/task.ts
+++ b/src/membership/task.ts
@@ -204,6 +204,11 @@
 			break;
 		}
 
+		case 'proofRenewed': {
+			listeners.notifyProof(effect.topic, effect.proof);
+			break;
+		}
+
 		case 'announced': {
 			listeners.notifyAnnouncement(effect.id, effect.payload);
 			break;
@@ -248,6 +253,11 @@
 		},
 		onVersion: listeners.onVersion,
 		versionOf: topic => state.topics.get(topic),
+		publishProof(topic, proof) {
+			offer({kind: 'publishProof', topic, proof});
+		},
+		onProof: listeners.onProof,
+		proofOf: topic => state.proofs.get(topic),
 		announce(id, payload, lifetimeMilliseconds) {
 			offer({kind: 'announce', id, payload, lifetimeMilliseconds});
 		},
--- a/src/membership/versions-and-announcements.ts
+++ b/src/membership/versions-and-announcements.ts
@@ -1,7 +1,7 @@
-/** Topic versions, which only increase, and announcements, which expire. */
+/** Topic versions, which only increase, proofs of their age, and announcements, which expire. */
 import {enqueueRumour} from './rumour-queue.js';
 import {hashText, toggleDigest} from './hash.js';
-import {type Rumour} from './message.js';
+import {type Rumour, type TopicProof} from './message.js';
 import {type EventContext} from './state.js';
 
 /**
@@ -35,6 +35,38 @@
 	return true;
 }
 
+/**
+ * Stores a proof of a topic and queues it for gossip, unless the known one is as new.
+ *
+ * @param context context of the event
+ * @param topic name of the topic
+ * @param proof the published or received proof
+ * @param isOwn whether it is this node's own
+ */
+export function renewProof(
+	context: EventContext,
+	topic: string,
+	{version, era, provenAt}: TopicProof,
+	isOwn: boolean,
+): void {
+	const {proofs, rumourQueue, parameters} = context.state;
+	const known = proofs.get(topic);
+	const isNewer =
+		known === undefined
+			? proofs.size < parameters.maximumTopics
+			: era > known.era || (era === known.era && provenAt > known.provenAt);
+	if (!isNewer) {
+		return;
+	}
+
+	const proof = {version, era, provenAt};
+	proofs.set(topic, proof);
+	enqueueRumour(rumourQueue, {kind: 'proof', topic, ...proof});
+	if (!isOwn) {
+		context.effects.push({kind: 'proofRenewed', topic, proof});
+	}
+}
+
 /**
  * Stores an announcement and queues it for gossip. One whose id is known is ignored.
  *
@@ -90,8 +122,12 @@
  * @returns the versions, and the announcements with their remaining time
  */
 export function listVersionsAndAnnouncements(context: EventContext): Rumour[] {
-	const {topics, announcements} = context.state;
+	const {topics, proofs, announcements} = context.state;
 	const rumours: Rumour[] = [];
+	for (const [topic, proof] of proofs) {
+		rumours.push({kind: 'proof', topic, ...proof});
+	}
+
 	for (const [topic, version] of topics) {
 		rumours.push({kind: 'version', topic, version});
 	}
--- /dev/null
+++ b/src/proven-age/index.ts
@@ -0,0 +1,28 @@
+/** How old a node's knowledge of the routes provably is, and when to ask for a newer proof. */
+export {
+	nextPeerQuestionAt,
+	nextTableQuestionAt,
+	proofRoles,
+	type ProofRole,
+} from './asking.js';
+export {
+	ageOfProof,
+	createProvenRoutes,
+	isNewer,
+	isProvenRecent,
+	lacksBound,
+	newestProofAt,
+	noteVersion,
+	recordAnswer,
+	recordExchange,
+	recordProof,
+	type ProvenRoutes,
+	type RoutesProof,
+} from './proven-routes.js';
+export {latestTime} from './store-clock.js';
+export {
+	createSuspendedClock,
+	readSuspendedClock,
+	type ClockReading,
+	type SuspendedClock,
+} from './suspended-clock.js';
--- a/src/relay/active-routes.ts
+++ b/src/relay/active-routes.ts
@@ -25,7 +25,7 @@
 
 export type RoutesHolder = {
 	readonly current: () => ActiveRoutes | undefined;
-	/** Activates a document if it is newer; returns whether it did. */
+	/** Activates a document if it is newer; returns whether it could be read. */
 	readonly activate: (text: string, source: string) => boolean;
 };
 
@@ -58,7 +58,7 @@
 			const table = decoded.value;
 			const before = activeRoutes?.table.version;
 			if (before !== undefined && table.version <= before) {
-				return false;
+				return true;
 			}
 
 			activeRoutes = {
--- a/src/relay/adapter.ts
+++ b/src/relay/adapter.ts
@@ -6,6 +6,7 @@
 import type {RouteTable} from '../routes/index.js';
 import type {TableClient} from '../table/index.js';
 import type {PlatformProtocol} from './platform-protocol.js';
+import type {ProofSource} from './proof-keeper.js';
 import type {RouteSource} from './routes-follower.js';
 import type {RoutesError} from './active-routes.js';
 
@@ -20,6 +21,8 @@
 	readonly protocol: PlatformProtocol;
 	readonly decodeRoutes: (text: string) => Result<RouteTable, RoutesError>;
 	readonly routeSource: RouteSource;
+	/** Where to ask whether the routes changed. */
+	readonly proofSource: ProofSource;
 	/** Durable rows. */
 	readonly table: Pick<TableClient, 'list' | 'read' | 'write' | 'close'>;
 	/** Creates the listener for the server's announcements, not yet bound. */
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -25,9 +25,12 @@
 import {createRelayPeerListener} from './peer-listener.js';
 import {createPeerClient} from './peer-client.js';
 import {createPlacer} from './placer.js';
+import {askPeer} from './peer-proof.js';
+import {createProofKeeper, type ProofKeeper} from './proof-keeper.js';
 import {routesTopic} from './peer-routes.js';
 import {createRoutesHolder, type RoutesHolder} from './active-routes.js';
 import {splitAddress, type RelaySettings} from './settings.js';
+import {createSteadyTime} from './steady-time.js';
 import {createTableEra} from './table-era.js';
 
 /** Upper bound of the time to encode or decode one datagram. */
@@ -46,6 +49,8 @@
 	readonly peerListener: Server;
 	readonly routesHolder: RoutesHolder;
 	readonly metrics: RelayMetrics;
+	/** Absent where keys that are taken away have no time limit. */
+	readonly proofKeeper: ProofKeeper | undefined;
 	readonly attachMembership: (membership: Membership) => void;
 	readonly openSocket: () => Promise<GateSocket>;
 	readonly isReady: () => boolean;
@@ -92,6 +97,13 @@
 		routesVersion: () => routesHolder.current()?.table.version ?? 0,
 		tableEra: tableEra.current,
 		members: () => membership?.all().length ?? 0,
+		proof:
+			settings.teams.revocationMilliseconds === undefined
+				? undefined
+				: {
+						age: () => proofKeeper?.age() ?? Number.POSITIVE_INFINITY,
+						countRefusals: () => proofKeeper?.countRefusals() ?? 0,
+					},
 		droppedLines: log.countDropped,
 		dump: () => dump(),
 	});
@@ -156,7 +168,9 @@
 			random: Math.random,
 			wallClock: Date.now,
 		}),
-		admitCaller: createCallerAdmission({isRecent: () => true}),
+		admitCaller: createCallerAdmission({
+			isRecent: () => proofKeeper?.isRecent() ?? true,
+		}),
 		spendAllowance: async () => undefined,
 		service: server.service,
 		isParentRunning: gate.isParentRunning,
@@ -168,11 +182,40 @@
 			metrics.recordCall(end);
 		},
 	});
+	const {revocationMilliseconds} = settings.teams;
+	const proofKeeper =
+		revocationMilliseconds === undefined
+			? undefined
+			: createProofKeeper({
+					limitMilliseconds: revocationMilliseconds,
+					source: adapter.proofSource,
+					holder: routesHolder,
+					log,
+					isPoller: () => pollsTable(),
+					askPeer,
+					steadyTime: createSteadyTime(),
+					random: Math.random,
+				});
+
+	function pollsTable(): boolean {
+		if (membership === undefined || now() - createdAt < pollerDelayMilliseconds) {
+			return false;
+		}
+
+		isChosenPoller ??= isPoller(
+			{nodeId: node.id, failureDomain: node.failureDomain},
+			membership.all(),
+			settings.pollersPerDomain,
+		);
+		return isChosenPoller || isIsolated(membership.lastPacketAt(), now());
+	}
+
 	const dump = (): Record<string, unknown> => ({
 		node: {...node, incarnation, leaving},
 		gate: gate.state(),
 		routesVersion: routesHolder.current()?.table.version,
 		routesSince: routesHolder.current()?.activeSince,
+		...(proofKeeper && {proofAgeMilliseconds: proofKeeper.age()}),
 		tableEra: tableEra.current(),
 		callersInFlight: callers.countInFlight(),
 		members: membership?.all(),
@@ -185,6 +228,7 @@
 		callers,
 		routesHolder,
 		metrics,
+		proofKeeper,
 		dump,
 		peerListener: createRelayPeerListener({
 			run: gate.run,
@@ -192,6 +236,7 @@
 				const routes = routesHolder.current();
 				return routes && {version: routes.table.version, text: routes.text};
 			},
+			describeStoreClock: () => proofKeeper?.describeStoreClock(),
 			inboundLink,
 			now,
 		}),
@@ -199,6 +244,7 @@
 			membership = joined;
 			isChosenPoller = undefined;
 			tableEra.attach(joined);
+			proofKeeper?.attach(joined);
 			const routes = routesHolder.current();
 			if (routes) {
 				joined.publishVersion(routesTopic, routes.table.version);
@@ -239,18 +285,7 @@
 			return socket;
 		},
 		isReady: () => !leaving && routesHolder.current() !== undefined,
-		isPoller() {
-			if (membership === undefined || now() - createdAt < pollerDelayMilliseconds) {
-				return false;
-			}
-
-			isChosenPoller ??= isPoller(
-				{nodeId: node.id, failureDomain: node.failureDomain},
-				membership.all(),
-				settings.pollersPerDomain,
-			);
-			return isChosenPoller || isIsolated(membership.lastPacketAt(), now());
-		},
+		isPoller: pollsTable,
 		recordTableEra: tableEra.record,
 		startDraining(endsAt) {
 			leaving = true;
@@ -258,6 +293,7 @@
 		},
 		close() {
 			gate.close();
+			proofKeeper?.close();
 			peers.close();
 		},
 	};
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -15,6 +15,7 @@
 	type RoutesReading,
 	type TablePosition,
 } from './routes-follower.js';
+export type {ProofSource} from './proof-keeper.js';
 export type {RoutesError} from './active-routes.js';
 export {
 	parseRelaySettings,
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -12,12 +12,20 @@
 	readonly listener: Server;
 };
 
+/** How recently the routes were provably the newest ones, and what was refused for lack of it. */
+export type ProofFigures = {
+	readonly age: () => number;
+	readonly countRefusals: () => number;
+};
+
 /** Sources that are read when the metrics are requested. */
 export type MetricsSources = {
 	readonly gate: () => RelayGateState;
 	readonly routesVersion: () => number;
 	readonly tableEra: () => number;
 	readonly members: () => number;
+	/** Undefined where routes need no proof of their age. */
+	readonly proof: ProofFigures | undefined;
 	readonly droppedLines: () => number;
 	/** The whole state of the process, for a dump. */
 	readonly dump: () => unknown;
@@ -73,7 +81,7 @@
 }
 
 function createGauges(sources: MetricsSources, registers: Registry[]): void {
-	const gauges: ReadonlyArray<readonly [string, string, () => number]> = [
+	const gauges: Array<readonly [string, string, () => number]> = [
 		['foxtailtide_running', 'Requests at the own server.', () => sources.gate().running],
 		['foxtailtide_waiting', 'Requests that wait for it.', () => sources.gate().waiting],
 		[
@@ -91,6 +99,22 @@
 		['foxtailtide_members', 'Nodes that are held alive.', sources.members],
 		['foxtailtide_log_lines_dropped', 'Log lines dropped.', sources.droppedLines],
 	];
+	const {proof} = sources;
+	if (proof !== undefined) {
+		gauges.push(
+			[
+				'foxtailtide_proof_age_milliseconds',
+				'Time since the routes were provably the newest ones.',
+				proof.age,
+			],
+			[
+				'foxtailtide_unproven_refusals',
+				'Requests with a key refused because the routes may be outdated.',
+				proof.countRefusals,
+			],
+		);
+	}
+
 	for (const [name, help, read] of gauges) {
 		const gauge = new Gauge({
 			name,
--- a/src/relay/peer-listener.ts
+++ b/src/relay/peer-listener.ts
@@ -19,6 +19,8 @@
 export const routesPath = '/foxtailtide/routes';
 /** Version above which the asking node wants the routes; without it, it gets any version. */
 export const newerThanHeader = 'foxtailtide-newer-than';
+/** What the answering node knows of the table's clock, and its newest proof of the routes. */
+export const storeClockHeader = 'foxtailtide-store-clock';
 
 /** The active routes as other nodes get them. */
 export type PeerRoutes = {readonly version: number; readonly text: string};
@@ -28,6 +30,8 @@
 	readonly run: (attempt: RelayAttempt) => RunningAttempt;
 	/** The active routes; undefined while there are none. */
 	readonly routes: () => PeerRoutes | undefined;
+	/** Value of the header for the table's clock; undefined where no node needs it. */
+	readonly describeStoreClock: () => string | undefined;
 	/** The link over which bodies reach this VM. */
 	readonly inboundLink: InboundLink;
 	/** Monotonic time in milliseconds. */
@@ -54,7 +58,7 @@
 		},
 		(request, response) => {
 			if (request.url === routesPath) {
-				sendRoutes(request, response, options.routes());
+				sendRoutes(request, response, options);
 				return;
 			}
 
@@ -66,8 +70,14 @@
 function sendRoutes(
 	request: IncomingMessage,
 	response: ServerResponse,
-	routes: PeerRoutes | undefined,
+	options: PeerListenerOptions,
 ): void {
+	const routes = options.routes();
+	const storeClock = options.describeStoreClock();
+	if (storeClock !== undefined) {
+		response.setHeader(storeClockHeader, storeClock);
+	}
+
 	const newerThan = Number(request.headers[newerThanHeader] ?? 0);
 	if (routes === undefined || routes.version <= newerThan) {
 		response.writeHead(404, {'content-length': '0'});
--- /dev/null
+++ b/src/relay/proof-keeper.ts
@@ -0,0 +1,338 @@
+/**
+ * Keeps the proof of a node that its routes were the newest ones recently, where keys that are taken
+ * away must stop working within a limit at every node. It asks the table when it is this node's turn,
+ * passes proofs on through gossip, and asks other nodes for what the table does not answer. While
+ * the routes have no teams, it sends nothing.
+ */
+import type {Result} from 'neverthrow';
+import type {Logger} from '../log/index.js';
+import {memberStatuses, type Member, type Membership} from '../membership/index.js';
+import {
+	ageOfProof,
+	createProvenRoutes,
+	isProvenRecent,
+	lacksBound,
+	latestTime,
+	newestProofAt,
+	nextPeerQuestionAt,
+	nextTableQuestionAt,
+	noteVersion,
+	proofRoles,
+	recordAnswer,
+	recordExchange,
+	recordProof,
+	type ProofRole,
+} from '../proven-age/index.js';
+import type {RoutesHolder} from './active-routes.js';
+import {formatKnowledge, type PeerKnowledge} from './peer-proof.js';
+import {routesTopic} from './peer-routes.js';
+import {
+	routeSourceErrors,
+	type RouteSource,
+	type RouteSourceError,
+	type RoutesReading,
+	type TablePosition,
+} from './routes-follower.js';
+
+/** Asks the table for the present state of the routes. */
+export type ProofSource = {
+	/** Reads what changed after a position without waiting, or the routes if there is no position. */
+	readonly check: (
+		position: TablePosition | undefined,
+	) => Promise<Result<RoutesReading, RouteSourceError>>;
+};
+
+export type ProofMembership = Pick<
+	Membership,
+	'publishProof' | 'onProof' | 'proofOf' | 'onVersion' | 'versionOf' | 'all' | 'self'
+>;
+
+export type ProofKeeperOptions = {
+	/** Time after which a key that was taken away must not be accepted, in milliseconds. */
+	readonly limitMilliseconds: number;
+	readonly source: ProofSource;
+	readonly holder: RoutesHolder;
+	readonly log: Logger;
+	readonly isPoller: () => boolean;
+	readonly askPeer: (member: Member) => Promise<PeerKnowledge | undefined>;
+	/** Time in milliseconds that also counts suspensions. */
+	readonly steadyTime: () => number;
+	/** A number from 0 to below 1. */
+	readonly random: () => number;
+};
+
+export type ProofKeeper = {
+	/** Whether the active routes were provably the newest ones recently enough; counts if not. */
+	readonly isRecent: () => boolean;
+	/** Returns a source that also lets the keeper learn from what is read. */
+	readonly observe: (source: RouteSource) => RouteSource;
+	/** Shares proofs with the other nodes from now on. */
+	readonly attach: (membership: ProofMembership) => void;
+	/** What this node tells others about the table's clock, as a header. */
+	readonly describeStoreClock: () => string | undefined;
+	/** Age of the proof in milliseconds; infinite without one. */
+	readonly age: () => number;
+	readonly countRefusals: () => number;
+	readonly close: () => void;
+};
+
+/** Longest time without a look at whether a question is due. */
+const longestPauseMilliseconds = 500;
+const shortestPauseMilliseconds = 10;
+
+/**
+ * Creates a keeper and starts it.
+ *
+ * @param options the table, the routes, the clock and the log
+ * @returns the keeper
+ */
+export function createProofKeeper(options: ProofKeeperOptions): ProofKeeper {
+	const {holder, log, steadyTime, random, limitMilliseconds} = options;
+	const proven = createProvenRoutes();
+	let membership: ProofMembership | undefined;
+	let position: TablePosition | undefined;
+	let timer: NodeJS.Timeout | undefined;
+	let isClosed = false;
+	let isAskingTable = false;
+	let isAskingPeer = false;
+	let wasRecent = false;
+	let refusals = 0;
+	let jitter = random();
+	let jitterOf: number | undefined;
+	let failures = 0;
+	let failedAt = 0;
+	let answeredAt = steadyTime();
+	let peerAskedAt = 0;
+
+	const isRequired = (): boolean => holder.current()?.teams.isRequired ?? false;
+	const activeVersion = (): number => holder.current()?.table.version ?? 0;
+
+	function checkRecent(now: number): boolean {
+		const isRecent = isProvenRecent(proven, activeVersion(), limitMilliseconds, now);
+		if (isRecent !== wasRecent) {
+			wasRecent = isRecent;
+			const fields = {
+				routesVersion: activeVersion(),
+				knownVersion: proven.knownVersion,
+				tableFailures: failures,
+			};
+			if (isRecent) {
+				log.info('proof of the routes regained', fields);
+			} else {
+				log.warn('proof of the routes lost', fields);
+			}
+		}
+
+		return isRecent;
+	}
+
+	/** Takes an answer of the table; its routes are activated first, so that the proof covers them. */
+	function acceptReading(reading: RoutesReading, sentAt: number, isOwn: boolean): void {
+		const {text, storeTime} = reading;
+		const isReadable = text === undefined || holder.activate(text, 'table');
+		position = isReadable ? reading.position : undefined;
+		if (storeTime === undefined) {
+			return;
+		}
+
+		const now = steadyTime();
+		answeredAt = now;
+		const {era} = reading.position;
+		const version = isReadable ? holder.current()?.table.version : undefined;
+		const answer = {era, sentAt, storeTime, version, isOwn};
+		const proof = recordAnswer(proven, answer, now);
+		if (proof !== undefined && isRequired()) {
+			membership?.publishProof(routesTopic, proof);
+		}
+
+		checkRecent(now);
+	}
+
+	async function askTable(): Promise<void> {
+		isAskingTable = true;
+		jitter = random();
+		const sentAt = steadyTime();
+		const reading = await options.source.check(position);
+		isAskingTable = false;
+		if (reading.isOk()) {
+			failures = 0;
+			acceptReading(reading.value, sentAt, true);
+		} else if (
+			reading.error.kind === routeSourceErrors.historyGone &&
+			position !== undefined
+		) {
+			position = undefined;
+		} else {
+			failures += 1;
+			failedAt = steadyTime();
+		}
+
+		schedule();
+	}
+
+	async function askOtherNode(): Promise<void> {
+		isAskingPeer = true;
+		const askedAt = steadyTime();
+		peerAskedAt = askedAt;
+		const member = choosePeer();
+		const answer = member && (await options.askPeer(member));
+		isAskingPeer = false;
+		if (answer !== undefined) {
+			const now = steadyTime();
+			const {era, storeTime} = answer;
+			recordExchange(proven, {era, storeTime, sentAt: askedAt}, now);
+			if (answer.proof !== undefined) {
+				recordProof(proven, answer.proof, now);
+			}
+
+			checkRecent(now);
+		}
+
+		schedule();
+	}
+
+	/** Chooses an alive node of the own region if there is one. */
+	function choosePeer(): Member | undefined {
+		if (membership === undefined) {
+			return undefined;
+		}
+
+		const {nodeId: ownId, region} = membership.self();
+		const alive = membership
+			.all()
+			.filter(({nodeId, status}) => nodeId !== ownId && status === memberStatuses.alive);
+		const near = alive.filter(member => member.region === region);
+		const candidates = near.length > 0 ? near : alive;
+		return candidates[Math.floor(random() * candidates.length)];
+	}
+
+	function chooseRole(): ProofRole {
+		if (proven.isOwn) {
+			return proofRoles.last;
+		}
+
+		return options.isPoller() ? proofRoles.poller : proofRoles.other;
+	}
+
+	function step(): void {
+		if (isRequired()) {
+			const now = steadyTime();
+			checkRecent(now);
+			const {tableAt, peerAt} = plan();
+			if (tableAt <= now && !isAskingTable) {
+				void askTable();
+			}
+
+			if (peerAt <= now && !isAskingPeer) {
+				void askOtherNode();
+			}
+		}
+
+		schedule();
+	}
+
+	/** When the table and another node are to be asked. */
+	function plan(): {readonly tableAt: number; readonly peerAt: number} {
+		const newestAt = newestProofAt(proven);
+		if (newestAt !== jitterOf) {
+			jitterOf = newestAt;
+			jitter = random();
+		}
+
+		const shared = {limitMilliseconds, newestAt, failures, jitter};
+		const role = chooseRole();
+		return {
+			tableAt: nextTableQuestionAt({...shared, role, failedAt, answeredAt}),
+			peerAt: nextPeerQuestionAt({
+				...shared,
+				needsBound: lacksBound(proven),
+				askedAt: peerAskedAt,
+			}),
+		};
+	}
+
+	function schedule(): void {
+		clearTimeout(timer);
+		if (isClosed) {
+			return;
+		}
+
+		let pause = longestPauseMilliseconds;
+		if (isRequired()) {
+			const {tableAt, peerAt} = plan();
+			const dueAt = Math.min(
+				isAskingTable ? Number.POSITIVE_INFINITY : tableAt,
+				isAskingPeer ? Number.POSITIVE_INFINITY : peerAt,
+			);
+			pause = Math.min(pause, Math.max(shortestPauseMilliseconds, dueAt - steadyTime()));
+		}
+
+		timer = setTimeout(step, pause);
+	}
+
+	schedule();
+	return {
+		isRecent() {
+			const isRecent = checkRecent(steadyTime());
+			refusals += isRecent ? 0 : 1;
+			return isRecent;
+		},
+		observe: source => ({
+			async read() {
+				const sentAt = steadyTime();
+				const reading = await source.read();
+				reading.map(value => {
+					acceptReading(value, sentAt, false);
+				});
+				return reading;
+			},
+			async awaitChange(from, timeoutMilliseconds) {
+				const sentAt = steadyTime();
+				const change = await source.awaitChange(from, timeoutMilliseconds);
+				change.map(value => {
+					acceptReading(value, sentAt, false);
+				});
+				return change;
+			},
+		}),
+		attach(joined) {
+			membership = joined;
+			joined.onProof((topic, proof) => {
+				if (topic === routesTopic) {
+					const now = steadyTime();
+					recordProof(proven, proof, now);
+					checkRecent(now);
+				}
+			});
+			joined.onVersion((topic, version) => {
+				if (topic === routesTopic) {
+					noteVersion(proven, version);
+				}
+			});
+			const known = joined.proofOf(routesTopic);
+			if (known !== undefined) {
+				recordProof(proven, known, steadyTime());
+			}
+
+			noteVersion(proven, joined.versionOf(routesTopic) ?? 0);
+			if (proven.newest !== undefined && isRequired()) {
+				joined.publishProof(routesTopic, proven.newest);
+			}
+		},
+		describeStoreClock() {
+			const {bound, newest: proof} = proven;
+			if (bound === undefined || !isRequired()) {
+				return undefined;
+			}
+
+			const storeTime = latestTime(bound, steadyTime());
+			return formatKnowledge({era: bound.era, storeTime, proof});
+		},
+		age: () => ageOfProof(proven, activeVersion(), steadyTime()),
+		countRefusals: () => refusals,
+		close() {
+			isClosed = true;
+			clearTimeout(timer);
+		},
+	};
+}
--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -22,6 +22,8 @@
 	readonly text: string | undefined;
 	/** Where in the table's history this was read. */
 	readonly position: TablePosition;
+	/** The table's steady clock while it answered, in milliseconds, if it states one. */
+	readonly storeTime?: number | undefined;
 };
 
 export const routeSourceErrors = {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -52,6 +52,13 @@
 		slack: z.number().min(0),
 		windowMilliseconds: milliseconds,
 	}),
+	/** Teams, whose callers identify themselves by keys. */
+	teams: z
+		.object({
+			/** Time after which no node may accept a key that was taken away; absent for no limit. */
+			revocationMilliseconds: milliseconds.optional(),
+		})
+		.default({}),
 	/** Cost of bytes, as a share of the value of a response that arrives in time. */
 	costs: z
 		.object({
--- a/stand-ins/platform/store.ts
+++ b/stand-ins/platform/store.ts
@@ -11,6 +11,9 @@
 	type ServerResponse,
 } from 'node:http';
 
+/** What the steady clock shows when the process starts. */
+const clockStart = 1_000_000;
+
 type Row = {table: string; part: string; key: string; value: string; ver: number};
 type RowKey = {readonly table: string; readonly part: string; readonly key: string};
 type Transaction = {
@@ -119,7 +122,7 @@
 		respond(response, 200, {ver: state.version});
 	}
 
-	function respond(response: ServerResponse, status: number, body: unknown): void {
+	function respond(response: ServerResponse, status: number, body: object): void {
 		setTimeout(() => {
 			if (state.isLosingResponses) {
 				response.destroy();
@@ -130,7 +133,8 @@
 				'content-type': 'application/json',
 				'store-era': String(state.era),
 			});
-			response.end(JSON.stringify(body));
+			const times = {'now-ms': Math.round(performance.now() + clockStart)};
+			response.end(JSON.stringify({...body, ...times}));
 		}, state.delay);
 	}
 
--- a/test/membership/versions-and-announcements.test.ts
+++ b/test/membership/versions-and-announcements.test.ts
@@ -5,6 +5,7 @@
 import {applyEvent} from '../../src/membership/state-machine.js';
 import {createState, type MembershipEffect} from '../../src/membership/state.js';
 import {type Rumour} from '../../src/membership/message.js';
+import {relayMembershipParameters} from '../../src/relay/membership-parameters.js';
 import {
 	createMesh,
 	describeMember,
@@ -73,3 +74,45 @@
 	const knows = () => late.state.topics.get('team') === 4;
 	expect(mesh.runUntil(knows, 10 * second) === undefined).toEqual(false);
 });
+
+test('of proofs only the one with the newest era and time is kept, with the version that it names', () => {
+	const proofs = [
+		{version: 5, era: 1, provenAt: 900},
+		{version: 6, era: 1, provenAt: 800},
+		{version: 4, era: 2, provenAt: 100},
+		{version: 9, era: 1, provenAt: 2000},
+		{version: 4, era: 2, provenAt: 101},
+	];
+	const {state, effects} = receive(
+		proofs.map(proof => ({kind: 'proof', topic: 'team', ...proof}) as const),
+	);
+	expect(
+		effects.flatMap(effect => (effect.kind === 'proofRenewed' ? [effect.proof] : [])),
+	).toEqual([proofs[0]!, proofs[2]!, proofs[4]!]);
+	expect(state.proofs.get('team')).toEqual(proofs[4]);
+	expect(state.topics.size).toEqual(0);
+});
+
+test('with a proof each second all members have one that outlasts the loss of touch, although datagrams are lost', () => {
+	const parameters = relayMembershipParameters;
+	const mesh = createMesh({seed: 77, loss: 0.05, parameters});
+	const nodes = startMembers(mesh, 60);
+	mesh.run(5 * second);
+	let oldest = 0;
+	for (let round = 0; round < 20; round += 1) {
+		const proof = {version: 1, era: 1, provenAt: Math.floor(mesh.now)};
+		mesh.send(nodes[round % 3]!, {kind: 'publishProof', topic: 'team', proof});
+		for (let tenth = 0; tenth < 10; tenth += 1) {
+			mesh.run(second / 10);
+			if (round > 1) {
+				const ages = nodes.map(
+					({state}) => mesh.now - (state.proofs.get('team')?.provenAt ?? 0),
+				);
+				oldest = Math.max(oldest, ...ages);
+			}
+		}
+	}
+
+	// Of a limit of 5 s, proofs count for 0.95 and a node that lost touch needs 0.6.
+	expect(oldest).toBeLessThan((0.95 - 0.6) * 5 * second);
+});
