--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -35,11 +35,14 @@
 import {createPlacer} from './placer.js';
 import {createRoundTrips} from './distances.js';
 import {createLeaving} from './leaving.js';
+import {askPeer} from './peer-proof.js';
+import {createProofKeeper, type ProofKeeper} from './proof-keeper.js';
 import {routesTopic} from './peer-routes.js';
 import {createRoutesHolder, type RoutesHolder} from './active-routes.js';
 import {createResidenceCheck} from './residence-check.js';
 import type {RoutesReading} from './routes-follower.js';
 import {splitAddress, type RelaySettings} from './settings.js';
+import {createSteadyTime} from './steady-time.js';
 import {createTableEra} from './table-era.js';
 import {allowanceTickMilliseconds, createTeamAllowances} from './team-allowances.js';
 
@@ -61,6 +64,8 @@
 	readonly peerListener: Server;
 	readonly routesHolder: RoutesHolder;
 	readonly metrics: RelayMetrics;
+	/** Absent where keys that are taken away have no time limit. */
+	readonly proofKeeper: ProofKeeper | undefined;
 	readonly attachMembership: (membership: Membership) => void;
 	readonly openSocket: () => Promise<GateSocket>;
 	readonly isReady: () => boolean;
@@ -142,6 +147,13 @@
 		tableEra: tableEra.current,
 		evacuatedDomains: () => evacuations.list().length,
 		members: () => membership?.all().length ?? 0,
+		proof:
+			settings.teams.revocationMilliseconds === undefined
+				? undefined
+				: {
+						age: () => proofKeeper?.age() ?? Number.POSITIVE_INFINITY,
+						countRefusals: () => proofKeeper?.countRefusals() ?? 0,
+					},
 		droppedLines: log.countDropped,
 		roundTrips: roundTrips.list,
 		leavingShares: () => leavingDomain?.shares() ?? new Map<string, number>(),
@@ -236,7 +248,9 @@
 			random: Math.random,
 			wallClock: Date.now,
 		}),
-		admitCaller: createCallerAdmission({isRecent: () => true}),
+		admitCaller: createCallerAdmission({
+			isRecent: () => proofKeeper?.isRecent() ?? true,
+		}),
 		spendAllowance: allowances.spend,
 		returnAllowance: allowances.giveBack,
 		service: server.service,
@@ -249,11 +263,40 @@
 			metrics.recordCall(end);
 		},
 	});
+	const {revocationMilliseconds} = settings.teams;
+	const proofKeeper =
+		revocationMilliseconds === undefined
+			? undefined
+			: createProofKeeper({
+					limitMilliseconds: revocationMilliseconds,
+					source: adapter.proofSource,
+					holder: routesHolder,
+					log,
+					isPoller: () => pollsTable(),
+					askPeer,
+					steadyTime: createSteadyTime(),
+					random: Math.random,
+				});
+
+	function pollsTable(): boolean {
+		if (membership === undefined || now() - createdAt < pollerDelayMilliseconds) {
+			return false;
+		}
+
+		isChosenPoller ??= isPoller(
+			{nodeId: node.id, failureDomain: node.failureDomain},
+			membership.all(),
+			settings.pollersPerDomain,
+		);
+		return isChosenPoller || isIsolated(membership.lastPacketAt(), now());
+	}
+
 	const dump = (): Record<string, unknown> => ({
 		node: {...node, incarnation, leaving},
 		gate: gate.state(),
 		routesVersion: routesHolder.current()?.table.version,
 		routesSince: routesHolder.current()?.activeSince,
+		...(proofKeeper && {proofAgeMilliseconds: proofKeeper.age()}),
 		tableEra: tableEra.current(),
 		evacuatedDomains: evacuations.list(),
 		callersInFlight: callers.countInFlight(),
@@ -270,6 +313,7 @@
 		callers,
 		routesHolder,
 		metrics,
+		proofKeeper,
 		dump,
 		peerListener: createRelayPeerListener({
 			run: gate.run,
@@ -277,6 +321,7 @@
 				const routes = routesHolder.current();
 				return routes && {version: routes.table.version, text: routes.text};
 			},
+			describeStoreClock: () => proofKeeper?.describeStoreClock(),
 			inboundLink,
 			now,
 		}),
@@ -285,6 +330,7 @@
 			isChosenPoller = undefined;
 			tableEra.attach(joined);
 			evacuations.attach(joined);
+			proofKeeper?.attach(joined);
 			const routes = routesHolder.current();
 			if (routes) {
 				joined.publishVersion(routesTopic, routes.table.version);
@@ -331,18 +377,7 @@
 			return socket;
 		},
 		isReady: () => !leaving && routesHolder.current() !== undefined,
-		isPoller() {
-			if (membership === undefined || now() - createdAt < pollerDelayMilliseconds) {
-				return false;
-			}
-
-			isChosenPoller ??= isPoller(
-				{nodeId: node.id, failureDomain: node.failureDomain},
-				membership.all(),
-				settings.pollersPerDomain,
-			);
-			return isChosenPoller || isIsolated(membership.lastPacketAt(), now());
-		},
+		isPoller: pollsTable,
 		recordTableEra: tableEra.record,
 		recordReading: evacuations.record,
 		startDraining(endsAt) {
@@ -352,6 +387,7 @@
 		close() {
 			clearInterval(allowanceTimer);
 			gate.close();
+			proofKeeper?.close();
 			peers.close();
 		},
 	};
--- a/src/relay/routes-follower.ts
+++ b/src/relay/routes-follower.ts
@@ -27,6 +27,8 @@
 	readonly evacuations: readonly EvacuationRow[];
 	/** Whether all evacuations are listed; otherwise only those that have changed. */
 	readonly isComplete: boolean;
+	/** The table's steady clock while it answered, in milliseconds, if it states one. */
+	readonly storeTime?: number | undefined;
 };
 
 export const routeSourceErrors = {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -52,13 +52,15 @@
 		slack: z.number().min(0),
 		windowMilliseconds: milliseconds,
 	}),
-	/** How the limits on teams are kept. */
+	/** Teams, whose callers identify themselves by keys, and how their limits are kept. */
 	teams: z
 		.object({
 			/** Window for which the caps of teams hold. */
 			capWindowMilliseconds: milliseconds.optional(),
+			/** Time after which no node may accept a key that was taken away; absent for no limit. */
+			revocationMilliseconds: milliseconds.optional(),
 		})
-		.optional(),
+		.default({}),
 	/** Cost of bytes, as a share of the value of a response that arrives in time. */
 	costs: z
 		.object({
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -41,7 +41,9 @@
 	const after = await routeSource.awaitChange(position, waitMilliseconds);
 	expect(after._unsafeUnwrapErr().kind).toEqual(routeSourceErrors.historyGone);
 	const again = await routeSource.read();
-	expect(again._unsafeUnwrap()).toEqual({
+	const {storeTime, ...reread} = again._unsafeUnwrap();
+	expect(typeof storeTime).toEqual('number');
+	expect(reread).toEqual({
 		text: JSON.stringify({version: 'r3'}),
 		position: {era: position.era + 1, version: position.version},
 		evacuations: [],
@@ -54,7 +56,8 @@
 	store.putConfiguration({version: 'r1'});
 	store.putEvacuation('coast-1');
 	const read = await routeSource.read();
-	const {position, ...full} = read._unsafeUnwrap();
+	const {position, storeTime, ...full} = read._unsafeUnwrap();
+	expect(typeof storeTime).toEqual('number');
 	expect(full).toEqual({
 		text: JSON.stringify({version: 'r1'}),
 		evacuations: [{domain: 'coast-1', isEvacuated: true, rowVersion: position.version}],
@@ -62,7 +65,9 @@
 	});
 	store.removeEvacuation('coast-1');
 	const change = await routeSource.awaitChange(position, waitMilliseconds);
-	expect(change._unsafeUnwrap()).toEqual({
+	const {storeTime: laterTime, ...changed} = change._unsafeUnwrap();
+	expect(laterTime!).toBeGreaterThanOrEqual(storeTime!);
+	expect(changed).toEqual({
 		text: undefined,
 		position: {era: position.era, version: position.version + 1},
 		evacuations: [
--- a/test/process/evacuation.test.ts
+++ b/test/process/evacuation.test.ts
@@ -15,6 +15,8 @@
 
 const workMilliseconds = 100;
 const callersPerNode = 9;
+/** More than the servers that are not cold can answer before the deadline. */
+const floodingCallersPerNode = 50;
 /** Time until an evacuation holds everywhere. */
 const evacuationMilliseconds = 3000;
 /** Nodes that have just started do not poll until they know the other nodes. */
@@ -32,7 +34,10 @@
 };
 
 /** Callers that send their next request as soon as the last one has ended. */
-function startFlood(nodes: readonly RelayNode[]): Flood {
+function startFlood(
+	nodes: readonly RelayNode[],
+	countPerNode: number = callersPerNode,
+): Flood {
 	const state = {isOver: false};
 	const responses: Flood['responses'] = [];
 	const send = async (port: number, name: string): Promise<void> => {
@@ -46,7 +51,7 @@
 	};
 
 	const callers = nodes.flatMap(({callersPort}) =>
-		Array.from({length: callersPerNode}, async (_, index) =>
+		Array.from({length: countPerNode}, async (_, index) =>
 			send(callersPort, `flood-${callersPort}-${index}`),
 		),
 	);
@@ -133,7 +138,7 @@
 		server.setCold(coldMilliseconds);
 	}
 
-	const flood = startFlood(nodes);
+	const flood = startFlood(nodes, floodingCallersPerNode);
 	const from = Date.now();
 	store.removeEvacuation(evacuatedDomain);
 	await waitFor(() => countLogs(mesh, 'evacuation ended') === 3);
