Start the timer of allowances only where a team has a cap; return no allowance that was not spent

Cause: read in review. A caller that left while its request was being refused for the cap of its team gave back a token that it had not spent; and every node woke four times a second for allowances, also without teams. Change: only a granted request gives back; the timer starts with the first cap. The connection of allowances to membership, clocks and socket has a module of its own. No test covers the first fault yet.

--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -204,13 +204,16 @@
 	): Promise<void> {
 		const {metadata, team} = received;
 		const refusal = team && (await options.spendAllowance(team));
-		if (response.closed) {
-			returnAllowance(call);
+		if (refusal) {
+			if (!response.closed) {
+				refuse(response, metadata, refusal);
+			}
+
 			return;
 		}
 
-		if (refusal) {
-			refuse(response, metadata, refusal);
+		if (response.closed) {
+			returnAllowance(call);
 			return;
 		}
 
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -12,7 +12,6 @@
 	type MeasuringBudget,
 	type MeasuringUse,
 } from '../measuring/index.js';
-import {computeTokenLifetime} from '../allowances/index.js';
 import {
 	isIsolated,
 	isPoller,
@@ -21,12 +20,12 @@
 } from '../membership/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {PlatformAdapter} from './adapter.js';
-import {createAllowanceClient} from './allowance-client.js';
 import {createCallerAdmission} from './caller-admission.js';
 import {createRelayRunner} from './call-runner.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
 import {createRelayGate} from './gate.js';
 import type {RelayGate} from './gate-types.js';
+import {createNodeAllowances} from './node-allowances.js';
 import {openGateSocket, type GateSocket} from './gate-socket.js';
 import {createRelayMetrics, type RelayMetrics} from './metrics.js';
 import {createRelayPeerListener} from './peer-listener.js';
@@ -44,15 +43,12 @@
 import {splitAddress, type RelaySettings} from './settings.js';
 import {createSteadyTime} from './steady-time.js';
 import {createTableEra} from './table-era.js';
-import {allowanceTickMilliseconds, createTeamAllowances} from './team-allowances.js';
 
 /** Upper bound of the time to encode or decode one datagram. */
 const datagramMicroseconds = 20;
 /** A started node does not poll before it has learned of the others, or all started nodes would poll. */
 const pollerDelayMilliseconds = 2000;
 const responseBytesWeight = 0.1;
-/** Window for which the caps of teams hold, unless the settings name one. */
-const capWindowMilliseconds = 5000;
 
 /** Monotonic time in milliseconds; the clock of all components. */
 export const now = (): number => performance.now();
@@ -180,26 +176,16 @@
 		},
 		onAttemptEnd: metrics.recordAttemptEnd,
 	});
-	const capWindow = settings.teams?.capWindowMilliseconds ?? capWindowMilliseconds;
-	const allowances = createTeamAllowances({
+	const allowances = createNodeAllowances({
 		nodeId: node.id,
-		windowMilliseconds: capWindow,
+		incarnation,
+		windowMilliseconds: settings.teams.capWindowMilliseconds,
+		membership: () => membership,
+		socket: () => socket,
 		log,
-		random: Math.random,
-		now: () => ({monotonic: now(), wallClock: Date.now()}),
-		ask: createAllowanceClient({
-			socket: () => socket,
-			findMember: nodeId => membership?.find(nodeId),
-			maximumTimeoutMilliseconds: computeTokenLifetime(capWindow) / 2,
-			now,
-		}),
-		incarnationOf: nodeId =>
-			nodeId === node.id ? incarnation : membership?.find(nodeId)?.incarnation,
-		isIsolated: () =>
-			membership !== undefined && isIsolated(membership.lastPacketAt(), now()),
+		now,
 		onDecision: metrics.recordAllowance,
 	});
-	const allowanceTimer = setInterval(allowances.tick, allowanceTickMilliseconds);
 	const routesHolder = createRoutesHolder({
 		decode: adapter.decodeRoutes,
 		log,
@@ -385,7 +371,7 @@
 			callers.drain(endsAt);
 		},
 		close() {
-			clearInterval(allowanceTimer);
+			allowances.close();
 			gate.close();
 			proofKeeper?.close();
 			peers.close();
--- a/src/relay/team-allowances.ts
+++ b/src/relay/team-allowances.ts
@@ -117,7 +117,7 @@
 		startedAt: now().monotonic,
 		isIsolated: options.isIsolated,
 	});
-	let lastTick = now();
+	let lastTick: Moment | undefined;
 	let resumedAt = Number.NEGATIVE_INFINITY;
 
 	function stateOf(team: Team): TeamState {
@@ -352,7 +352,7 @@
 		},
 		tick() {
 			const moment = now();
-			if (elapsedBetween(lastTick, moment) > suspensionMilliseconds) {
+			if (lastTick && elapsedBetween(lastTick, moment) > suspensionMilliseconds) {
 				resumedAt = moment.monotonic;
 				allocators.restart(moment.monotonic);
 			}
