Log what distinguishes the causes of late changes

Logged are when a node hears of a version that it lacks and from whom, each round of questions to peers that brought nothing, and each question to the table with the role and the age of the proof that made it due. The follower of peers takes its pause as an argument, so that a simulation can run it on a virtual clock. No decision is changed.

--- a/src/relay/peer-routes.ts
+++ b/src/relay/peer-routes.ts
@@ -4,7 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {request as sendRequest} from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setTimeout as sleepFor} from 'node:timers/promises';
 import {collectBody} from '../http/index.js';
 import type {Logger} from '../log/index.js';
 import {memberStatuses, type Member, type Membership} from '../membership/index.js';
@@ -19,6 +19,8 @@
 	readonly random: () => number;
 	/** Fetches routes newer than a version from another node; undefined if it gave none. */
 	readonly fetch?: (member: Member, version: number) => Promise<string | undefined>;
+	/** Resolves after a time in milliseconds. */
+	readonly sleep?: (milliseconds: number) => Promise<unknown>;
 };
 
 export type PeerRoutesFollower = {readonly close: () => void};
@@ -45,7 +47,8 @@
  * @returns the follower
  */
 export function followPeerRoutes(options: PeerRoutesOptions): PeerRoutesFollower {
-	const {holder, membership, log, random, fetch = fetchRoutes} = options;
+	const {holder, membership, log, random} = options;
+	const {fetch = fetchRoutes, sleep = sleepFor} = options;
 	const state = {isClosed: false};
 	let isCatchingUp = false;
 
@@ -83,9 +86,15 @@
 
 		isCatchingUp = true;
 		await sleep(maximumJitterMilliseconds * random());
-		while (isBehind() && !state.isClosed) {
+		for (let round = 1; isBehind() && !state.isClosed; round += 1) {
 			await fetchFromPeers(announcer);
 			if (isBehind()) {
+				log.info('routes still lacking', {
+					version: holder.current()?.table.version,
+					announced: membership.versionOf(routesTopic),
+					announcer,
+					round,
+				});
 				await sleep(roundPauseMilliseconds * (0.5 + random()));
 			}
 		}
@@ -93,8 +102,13 @@
 		isCatchingUp = false;
 	}
 
-	membership.onVersion((topic, _version, announcer) => {
+	membership.onVersion((topic, version, announcer) => {
 		if (topic === routesTopic && isBehind()) {
+			log.info('newer routes announced', {
+				version,
+				announcer,
+				before: holder.current()?.table.version,
+			});
 			void catchUp(announcer);
 		}
 	});
--- a/src/relay/proof-keeper.ts
+++ b/src/relay/proof-keeper.ts
@@ -152,6 +152,11 @@
 		isAskingTable = true;
 		jitter = random();
 		const sentAt = steadyTime();
+		const asked = {
+			role: chooseRole(),
+			ageMilliseconds: Math.round(ageOfProof(proven, activeVersion(), sentAt)),
+			before: activeVersion(),
+		};
 		const reading = await options.source.check(position);
 		isAskingTable = false;
 		if (reading.isOk()) {
@@ -167,6 +172,12 @@
 			failedAt = steadyTime();
 		}
 
+		log.info('table asked for a proof', {
+			...asked,
+			milliseconds: Math.round(steadyTime() - sentAt),
+			failures,
+			routesVersion: activeVersion(),
+		});
 		schedule();
 	}
 
