--- /dev/null
+++ b/test/relay/simulated-routes.ts
@@ -0,0 +1,163 @@
+/**
+ * Simulates how a new version of the routes spreads: the real gossip and the real follower of each node,
+ * on a virtual clock. Some nodes have the version from the table; all others get it from peers.
+ */
+import {setImmediate as afterCallbacks} from 'node:timers/promises';
+import type {Member, VersionListener} from '../../src/membership/index.js';
+import type {RoutesHolder} from '../../src/relay/active-routes.js';
+import {relayMembershipParameters} from '../../src/relay/membership-parameters.js';
+import {followPeerRoutes, routesTopic} from '../../src/relay/peer-routes.js';
+import {
+	createMesh,
+	startMembers,
+	type Mesh,
+	type MeshNode,
+} from '../membership/simulated-mesh.js';
+import {createVersionHolder, silentLog} from '../support/routes-holder.js';
+
+const ignore = (): void => undefined;
+const domainRoundTrip = 2;
+const regionRoundTrip = 3;
+const remoteRoundTrip = 18;
+const firstVersion = 1;
+export const changedVersion = 2;
+
+export type SpreadOptions = {
+	readonly seed: number;
+	readonly nodes: number;
+	readonly domains: number;
+	readonly regions: number;
+	/** Whether a node gets the changed version from the table. */
+	readonly isServed: (member: Member) => boolean;
+	/** Whether a node neither answers other nodes in time nor passes anything on. */
+	readonly isSilent?: (member: Member) => boolean;
+	/** Time after which the simulation ends, in milliseconds. */
+	readonly bound: number;
+};
+
+export type Spread = {
+	/** Milliseconds after the change at which each node had it; infinite if it did not in time. */
+	readonly delays: number[];
+	/** Questions to nodes that did not have the changed version. */
+	readonly vainQuestions: number;
+};
+
+/** Simulates the spread of one change. */
+export async function simulateSpread(options: SpreadOptions): Promise<Spread> {
+	const mesh = createMesh({
+		seed: options.seed,
+		parameters: relayMembershipParameters,
+		keepsEffects: true,
+	});
+	startMembers(mesh, options.nodes, index => {
+		const region = index % options.regions;
+		return {
+			region: `region-${region}`,
+			failureDomain: `domain-${region}-${Math.floor(index / options.regions) % (options.domains / options.regions)}`,
+		};
+	});
+	const clock = createVirtualClock(mesh);
+	const delays = mesh.nodes.map(() => Number.POSITIVE_INFINITY);
+	const changedAt = mesh.now;
+	const count = {vain: 0};
+	const members = new Map<string, {node: MeshNode; holder: RoutesHolder}>();
+	const listeners = mesh.nodes.map((node, index) => {
+		const holder = createVersionHolder(version => {
+			mesh.send(node, {kind: 'publishVersion', topic: routesTopic, version});
+			if (version === changedVersion) {
+				delays[index] = mesh.now - changedAt;
+			}
+		});
+		holder.activate(String(firstVersion), 'table');
+		members.set(node.nodeId, {node, holder});
+		return {node, holder};
+	});
+	const isSilent = (node: MeshNode) =>
+		options.isSilent?.(node.state.self.member) ?? false;
+	mesh.isCut = (from, to) => isSilent(from) || isSilent(to);
+	const announceTo = listeners.map(({node, holder}) => {
+		let announce: VersionListener = ignore;
+		followPeerRoutes({
+			holder,
+			membership: {
+				all: () => [...node.state.roster.records.values()].map(({member}) => member),
+				self: () => node.state.self.member,
+				versionOf: topic => node.state.topics.get(topic),
+				onVersion(listener) {
+					announce = listener;
+				},
+			},
+			log: silentLog,
+			random: mesh.random,
+			sleep: clock.sleep,
+			async fetch(member, version) {
+				const peer = members.get(member.nodeId)!;
+				const roundTrip = chooseRoundTrip(node, peer.node);
+				await clock.sleep(roundTrip / 2);
+				if (isSilent(peer.node) || isSilent(node)) {
+					await clock.sleep(500);
+					return undefined;
+				}
+
+				const found = peer.holder.current()!.table.version;
+				count.vain += found > version ? 0 : 1;
+				await clock.sleep(roundTrip / 2);
+				return found > version ? String(found) : undefined;
+			},
+		});
+		return (version: number, from: string) => {
+			announce(routesTopic, version, from);
+		};
+	});
+	for (const {node, holder} of listeners) {
+		node.effects.length = 0;
+		if (options.isServed(node.state.self.member)) {
+			holder.activate(String(changedVersion), 'table');
+		}
+	}
+
+	while (mesh.now - changedAt < options.bound) {
+		mesh.run(1);
+		for (const [index, {node}] of listeners.entries()) {
+			for (const effect of node.effects.splice(0)) {
+				if (effect.kind === 'versionRaised' && effect.topic === routesTopic) {
+					announceTo[index]!(effect.version, effect.from);
+				}
+			}
+		}
+
+		clock.wake();
+		await afterCallbacks();
+	}
+
+	return {delays, vainQuestions: count.vain};
+}
+
+function chooseRoundTrip(from: MeshNode, to: MeshNode): number {
+	const [left, right] = [from.state.self.member, to.state.self.member];
+	if (left.region !== right.region) {
+		return remoteRoundTrip;
+	}
+
+	return left.failureDomain === right.failureDomain ? domainRoundTrip : regionRoundTrip;
+}
+
+function createVirtualClock(mesh: Mesh) {
+	const sleepers = new Map<number, Array<() => void>>();
+	return {
+		async sleep(milliseconds: number): Promise<void> {
+			const at = mesh.now + Math.max(1, Math.ceil(milliseconds));
+			await new Promise<void>(resolve => {
+				sleepers.set(at, [...(sleepers.get(at) ?? []), resolve]);
+			});
+		},
+		/** Wakes all whose time has come. */
+		wake(): void {
+			for (const resolve of sleepers.get(mesh.now) ?? []) {
+				resolve();
+			}
+
+			sleepers.delete(mesh.now);
+		},
+	};
+}
