Ask the table by the age of the routes a node has, not by that of proofs it has heard

Seen by callers: a key that a confirmed change had taken away was accepted for over 3 s by single nodes.

Cause: a node that lacks the newest version learns from gossip that others have proved it to be the newest. These proofs put off its own next question to the table for as long as they arrive, some 0.75 s apart, although they prove nothing about the routes that it has. So the node relied on its peers alone, and asked the table only once all proofs stopped.

Why it works: the moment of the next question counts from the proof that covers the active routes. As long as the node is behind this proof only grows older, so the question falls due 0.32 to 0.44 of the limit after it, and its answer brings the routes. An answer that brings none, as from a restored table, is followed by the same pause.

--- a/src/proven-age/asking.ts
+++ b/src/proven-age/asking.ts
@@ -50,8 +50,13 @@
 	/** Time after which a key that was taken away must not be accepted, in milliseconds. */
 	readonly limitMilliseconds: number;
 	readonly role: ProofRole;
-	/** Local time of the newest proof in milliseconds; undefined without any. */
-	readonly newestAt: number | undefined;
+	/**
+	 * Local time in milliseconds at which the routes of this node were last provably the newest. Proofs of
+	 * routes that it lacks do not count: its own only grow older.
+	 */
+	readonly provenAt: number | undefined;
+	/** Local time of the last answered question to the table, in milliseconds. */
+	readonly askedAt: number;
 	/** Failed questions to the table since its last answer. */
 	readonly failures: number;
 	/** Local time of the last failed question, in milliseconds. */
@@ -69,11 +74,13 @@
  * @returns local time in milliseconds
  */
 export function nextTableQuestionAt(state: AskingState): number {
-	const {role, limitMilliseconds, newestAt, failures, failedAt, answeredAt, jitter} =
+	const {role, limitMilliseconds, provenAt, askedAt, failures, failedAt, answeredAt} =
 		state;
+	const {jitter} = state;
 	const {from, spread} = askShares[role];
 	const age = (from + spread * jitter) * limitMilliseconds;
-	const agedAt = newestAt === undefined ? 0 : newestAt + age;
+	// An answer without a proof for these routes, as of a restored table, must not be asked for at once again.
+	const agedAt = Math.max(provenAt ?? Number.NEGATIVE_INFINITY, askedAt) + age;
 	const dueAt = Math.min(agedAt, answeredAt + boundLifetimeMilliseconds * (1 + jitter));
 	if (failures === 0) {
 		return dueAt;
@@ -87,8 +94,10 @@
 /** What decides whether to ask another node. */
 export type PeerAskingState = Pick<
 	AskingState,
-	'limitMilliseconds' | 'newestAt' | 'failures' | 'jitter'
+	'limitMilliseconds' | 'failures' | 'jitter'
 > & {
+	/** Local time of the newest proof in milliseconds; undefined without any. */
+	readonly newestAt: number | undefined;
 	/** Whether the newest proof cannot be placed, or only too early. */
 	readonly needsBound: boolean;
 	/** Local time of the last question to another node, in milliseconds. */
--- a/src/proven-age/index.ts
+++ b/src/proven-age/index.ts
@@ -13,6 +13,7 @@
 	lacksBound,
 	newestProofAt,
 	noteVersion,
+	provenAtLocally,
 	recordAnswer,
 	recordExchange,
 	recordProof,
--- a/src/proven-age/proven-routes.ts
+++ b/src/proven-age/proven-routes.ts
@@ -234,9 +234,23 @@
  * @param now local time in milliseconds
  * @returns milliseconds; infinite without proof
  */
-export function ageOfProof({placed}: ProvenRoutes, version: number, now: number): number {
-	const best = placed.find(proof => proof.version <= version);
-	return best === undefined ? Number.POSITIVE_INFINITY : now - best.at;
+export function ageOfProof(state: ProvenRoutes, version: number, now: number): number {
+	const at = provenAtLocally(state, version);
+	return at === undefined ? Number.POSITIVE_INFINITY : now - at;
+}
+
+/**
+ * Returns the local time at which a version was last provably the newest one.
+ *
+ * @param state the state
+ * @param version the active version
+ * @returns milliseconds; undefined without a proof on this node's clock
+ */
+export function provenAtLocally(
+	{placed}: ProvenRoutes,
+	version: number,
+): number | undefined {
+	return placed.find(proof => proof.version <= version)?.at;
 }
 
 /**
--- a/src/relay/proof-keeper.ts
+++ b/src/relay/proof-keeper.ts
@@ -18,6 +18,7 @@
 	nextTableQuestionAt,
 	noteVersion,
 	proofRoles,
+	provenAtLocally,
 	recordAnswer,
 	recordExchange,
 	recordProof,
@@ -102,6 +103,7 @@
 	let failures = 0;
 	let failedAt = 0;
 	let answeredAt = steadyTime();
+	let tableAskedAt = Number.NEGATIVE_INFINITY;
 	let peerAskedAt = 0;
 
 	const isRequired = (): boolean => holder.current()?.teams.isRequired ?? false;
@@ -161,6 +163,7 @@
 		isAskingTable = false;
 		if (reading.isOk()) {
 			failures = 0;
+			tableAskedAt = sentAt;
 			acceptReading(reading.value, sentAt, true);
 		} else if (
 			reading.error.kind === routeSourceErrors.historyGone &&
@@ -250,12 +253,19 @@
 			jitter = random();
 		}
 
-		const shared = {limitMilliseconds, newestAt, failures, jitter};
-		const role = chooseRole();
+		const shared = {limitMilliseconds, failures, jitter};
 		return {
-			tableAt: nextTableQuestionAt({...shared, role, failedAt, answeredAt}),
+			tableAt: nextTableQuestionAt({
+				...shared,
+				role: chooseRole(),
+				provenAt: provenAtLocally(proven, activeVersion()),
+				askedAt: tableAskedAt,
+				failedAt,
+				answeredAt,
+			}),
 			peerAt: nextPeerQuestionAt({
 				...shared,
+				newestAt,
 				needsBound: lacksBound(proven),
 				askedAt: peerAskedAt,
 			}),
--- a/test/relay/proof-keeper.test.ts
+++ b/test/relay/proof-keeper.test.ts
@@ -10,7 +10,8 @@
 
 const base = {
 	limitMilliseconds: 5000,
-	newestAt: 10_000,
+	provenAt: 10_000,
+	askedAt: Number.NEGATIVE_INFINITY,
 	failures: 0,
 	failedAt: 0,
 	answeredAt: 10_000,
@@ -21,12 +22,12 @@
 	const dueAt = Object.values(proofRoles).map(role =>
 		nextTableQuestionAt({...base, role}),
 	);
-	expect(dueAt.map(at => Math.round(at - base.newestAt))).toEqual([750, 1375, 1900]);
+	expect(dueAt.map(at => Math.round(at - base.provenAt))).toEqual([750, 1375, 1900]);
 });
 
 test('failed questions pause longer each time, and longest at nodes that do not poll', () => {
 	const pauses = [1, 2, 3, 9].map(failures => {
-		const failed = {...base, newestAt: 0, failures, failedAt: 20_000};
+		const failed = {...base, provenAt: 0, failures, failedAt: 20_000};
 		return [proofRoles.poller, proofRoles.other].map(
 			role => nextTableQuestionAt({...failed, role}) - 20_000,
 		);
@@ -40,7 +41,7 @@
 });
 
 test('another node is asked for a bound, and for a proof only while the table does not answer', () => {
-	const peer = {...base, needsBound: false, askedAt: 10_000};
+	const peer = {...base, newestAt: 10_000, needsBound: false, askedAt: 10_000};
 	expect(nextPeerQuestionAt(peer)).toEqual(Number.POSITIVE_INFINITY);
 	expect(nextPeerQuestionAt({...peer, failures: 1})).toEqual(12_000);
 	expect(nextPeerQuestionAt({...peer, needsBound: true})).toEqual(10_300);
--- a/test/relay/proof-of-lacking-version.test.ts
+++ b/test/relay/proof-of-lacking-version.test.ts
@@ -65,7 +65,14 @@
 		clearInterval(proofs);
 		keeper.close();
 	});
-	return {table, holder, keeper};
+	return {
+		table,
+		holder,
+		keeper,
+		deliver(topic: string, proof: TopicProof) {
+			deliver(topic, proof);
+		},
+	};
 }
 
 test('a node that lacks a version asks the table for it although others prove to have it', async context => {
@@ -79,3 +86,14 @@
 	// Before, the proofs of others made questions needless.
 	expect(before).toEqual(1);
 });
+
+test('a version that a restored table lost is not asked for without pause', async context => {
+	const {table, keeper, deliver} = startKeeper(context);
+	await sleep(limitMilliseconds / 10);
+	deliver(routesTopic, {era, provenAt: Math.floor(performance.now() - 1), version: 7});
+	const before = table.questions;
+	await sleep(limitMilliseconds);
+	// Each 0.32 to 0.44 of the limit.
+	expect(table.questions - before).toBeLessThanOrEqual(4);
+	expect(keeper.isRecent()).toEqual(false);
+});
