Let any node that the table serves notice a change, not only the chosen pollers

Seen by callers: after a confirmed change was sent, all nodes went on with the older routes and evacuations for as long as the store refused the few nodes that poll it.

Cause: pollers are chosen by the hash of their ids, whoever the store serves. One that it refuses stays the poller of its failure domain, and the nodes beside it do not take over. Evacuations in the answers to such questions were dropped.

The test lacked request ids, which the stand-in server needs; it failed before it came to that.

Why it works: every mesh now keeps proofs of age. The node with the newest answer asks again; when the table refuses it, the proof ages at all nodes, and the pollers and then all others ask at random moments until one is served. Its answer is taken as a poller's: routes, evacuations and era. The limit that the ages refer to is that for revoked keys or 5/3 of the new setting configurationMilliseconds, whichever is less.

--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -49,6 +49,8 @@
 /** A started node does not poll before it has learned of the others, or all started nodes would poll. */
 const pollerDelayMilliseconds = 2000;
 const responseBytesWeight = 0.1;
+/** The time limit for changes, as a share of the limit for the age of proofs. */
+const provenShareOfLimit = 0.6;
 
 /** Monotonic time in milliseconds; the clock of all components. */
 export const now = (): number => performance.now();
@@ -60,8 +62,7 @@
 	readonly peerListener: Server;
 	readonly routesHolder: RoutesHolder;
 	readonly metrics: RelayMetrics;
-	/** Absent where keys that are taken away have no time limit. */
-	readonly proofKeeper: ProofKeeper | undefined;
+	readonly proofKeeper: ProofKeeper;
 	readonly attachMembership: (membership: Membership) => void;
 	readonly openSocket: () => Promise<GateSocket>;
 	readonly isReady: () => boolean;
@@ -147,8 +148,8 @@
 			settings.teams.revocationMilliseconds === undefined
 				? undefined
 				: {
-						age: () => proofKeeper?.age() ?? Number.POSITIVE_INFINITY,
-						countRefusals: () => proofKeeper?.countRefusals() ?? 0,
+						age: () => proofKeeper.age(),
+						countRefusals: () => proofKeeper.countRefusals(),
 					},
 		droppedLines: log.countDropped,
 		roundTrips: roundTrips.list,
@@ -235,7 +236,7 @@
 			wallClock: Date.now,
 		}),
 		admitCaller: createCallerAdmission({
-			isRecent: () => proofKeeper?.isRecent() ?? true,
+			isRecent: () => proofKeeper.isRecent(),
 		}),
 		spendAllowance: allowances.spend,
 		returnAllowance: allowances.giveBack,
@@ -250,19 +251,21 @@
 		},
 	});
 	const {revocationMilliseconds} = settings.teams;
-	const proofKeeper =
-		revocationMilliseconds === undefined
-			? undefined
-			: createProofKeeper({
-					limitMilliseconds: revocationMilliseconds,
-					source: adapter.proofSource,
-					holder: routesHolder,
-					log,
-					isPoller: () => pollsTable(),
-					askPeer,
-					steadyTime: createSteadyTime(),
-					random: Math.random,
-				});
+	const proofKeeper = createProofKeeper({
+		limitMilliseconds: chooseProofLimit(settings),
+		revocationMilliseconds,
+		source: adapter.proofSource,
+		holder: routesHolder,
+		log,
+		isPoller: () => pollsTable(),
+		askPeer,
+		onReading(reading) {
+			tableEra.record(reading.position.era);
+			evacuations.record(reading);
+		},
+		steadyTime: createSteadyTime(),
+		random: Math.random,
+	});
 
 	function pollsTable(): boolean {
 		if (membership === undefined || now() - createdAt < pollerDelayMilliseconds) {
@@ -282,7 +285,7 @@
 		gate: gate.state(),
 		routesVersion: routesHolder.current()?.table.version,
 		routesSince: routesHolder.current()?.activeSince,
-		...(proofKeeper && {proofAgeMilliseconds: proofKeeper.age()}),
+		proofAgeMilliseconds: proofKeeper.age(),
 		tableEra: tableEra.current(),
 		evacuatedDomains: evacuations.list(),
 		callersInFlight: callers.countInFlight(),
@@ -307,7 +310,7 @@
 				const routes = routesHolder.current();
 				return routes && {version: routes.table.version, text: routes.text};
 			},
-			describeStoreClock: () => proofKeeper?.describeStoreClock(),
+			describeStoreClock: () => proofKeeper.describeStoreClock(),
 			inboundLink,
 			now,
 		}),
@@ -316,7 +319,7 @@
 			isChosenPoller = undefined;
 			tableEra.attach(joined);
 			evacuations.attach(joined);
-			proofKeeper?.attach(joined);
+			proofKeeper.attach(joined);
 			const routes = routesHolder.current();
 			if (routes) {
 				joined.publishVersion(routesTopic, routes.table.version);
@@ -373,12 +376,23 @@
 		close() {
 			allowances.close();
 			gate.close();
-			proofKeeper?.close();
+			proofKeeper.close();
 			peers.close();
 		},
 	};
 }
 
+/**
+ * A node that the table serves asks it at 0.44 of this limit at the latest. What it learns needs the rest of the
+ * time to reach all nodes.
+ */
+function chooseProofLimit({configurationMilliseconds, teams}: RelaySettings): number {
+	return Math.min(
+		configurationMilliseconds / provenShareOfLimit,
+		teams.revocationMilliseconds ?? Number.POSITIVE_INFINITY,
+	);
+}
+
 /** This node's part of the link between two regions, in megabits per second. */
 function findLinkPart(
 	{costs, node}: RelaySettings,
--- a/src/relay/proof-keeper.ts
+++ b/src/relay/proof-keeper.ts
@@ -1,8 +1,9 @@
 /**
- * Keeps the proof of a node that its routes were the newest ones recently, where keys that are taken
- * away must stop working within a limit at every node. It asks the table when it is this node's turn,
- * passes proofs on through gossip, and asks other nodes for what the table does not answer. While
- * the routes have no teams, it sends nothing.
+ * Keeps the proof of a node that its routes were the newest ones recently. It asks the table when it is
+ * this node's turn, passes proofs on through gossip, and asks other nodes for what the table does not
+ * answer. So some node that the table serves notices a change in time, even if the table refuses all
+ * nodes that poll it. Where keys that are taken away must stop working within a limit, the age of the
+ * proof also decides whether keys are accepted.
  */
 import type {Result} from 'neverthrow';
 import type {Logger} from '../log/index.js';
@@ -49,13 +50,17 @@
 >;
 
 export type ProofKeeperOptions = {
-	/** Time after which a key that was taken away must not be accepted, in milliseconds. */
+	/** Time limit of which the ages are shares at which nodes ask for a newer proof, in milliseconds. */
 	readonly limitMilliseconds: number;
+	/** Time after which a key that was taken away must not be accepted; undefined for no limit. */
+	readonly revocationMilliseconds: number | undefined;
 	readonly source: ProofSource;
 	readonly holder: RoutesHolder;
 	readonly log: Logger;
 	readonly isPoller: () => boolean;
 	readonly askPeer: (member: Member) => Promise<PeerKnowledge | undefined>;
+	/** Called with each answer to a question of the keeper, before its routes are activated. */
+	readonly onReading: (reading: RoutesReading) => void;
 	/** Time in milliseconds that also counts suspensions. */
 	readonly steadyTime: () => number;
 	/** A number from 0 to below 1. */
@@ -63,7 +68,7 @@
 };
 
 export type ProofKeeper = {
-	/** Whether the active routes were provably the newest ones recently enough; counts if not. */
+	/** Whether keys may be checked against the active routes, by the age of their proof; counts if not. */
 	readonly isRecent: () => boolean;
 	/** Returns a source that also lets the keeper learn from what is read. */
 	readonly observe: (source: RouteSource) => RouteSource;
@@ -89,6 +94,7 @@
  */
 export function createProofKeeper(options: ProofKeeperOptions): ProofKeeper {
 	const {holder, log, steadyTime, random, limitMilliseconds} = options;
+	const {revocationMilliseconds} = options;
 	const proven = createProvenRoutes();
 	let membership: ProofMembership | undefined;
 	let position: TablePosition | undefined;
@@ -106,11 +112,15 @@
 	let tableAskedAt = Number.NEGATIVE_INFINITY;
 	let peerAskedAt = 0;
 
-	const isRequired = (): boolean => holder.current()?.teams.isRequired ?? false;
+	const hasRoutes = (): boolean => holder.current() !== undefined;
 	const activeVersion = (): number => holder.current()?.table.version ?? 0;
 
 	function checkRecent(now: number): boolean {
-		const isRecent = isProvenRecent(proven, activeVersion(), limitMilliseconds, now);
+		if (revocationMilliseconds === undefined || !holder.current()?.teams.isRequired) {
+			return true;
+		}
+
+		const isRecent = isProvenRecent(proven, activeVersion(), revocationMilliseconds, now);
 		if (isRecent !== wasRecent) {
 			wasRecent = isRecent;
 			const fields = {
@@ -143,7 +153,7 @@
 		const version = isReadable ? holder.current()?.table.version : undefined;
 		const answer = {era, sentAt, storeTime, version, isOwn};
 		const proof = recordAnswer(proven, answer, now);
-		if (proof !== undefined && isRequired()) {
+		if (proof !== undefined && hasRoutes()) {
 			membership?.publishProof(routesTopic, proof);
 		}
 
@@ -164,6 +174,7 @@
 		if (reading.isOk()) {
 			failures = 0;
 			tableAskedAt = sentAt;
+			options.onReading(reading.value);
 			acceptReading(reading.value, sentAt, true);
 		} else if (
 			reading.error.kind === routeSourceErrors.historyGone &&
@@ -229,7 +240,7 @@
 	}
 
 	function step(): void {
-		if (isRequired()) {
+		if (hasRoutes()) {
 			const now = steadyTime();
 			checkRecent(now);
 			const {tableAt, peerAt} = plan();
@@ -279,7 +290,7 @@
 		}
 
 		let pause = longestPauseMilliseconds;
-		if (isRequired()) {
+		if (hasRoutes()) {
 			const {tableAt, peerAt} = plan();
 			const dueAt = Math.min(
 				isAskingTable ? Number.POSITIVE_INFINITY : tableAt,
@@ -338,13 +349,13 @@
 			}
 
 			noteVersion(proven, joined.versionOf(routesTopic) ?? 0);
-			if (proven.newest !== undefined && isRequired()) {
+			if (proven.newest !== undefined && hasRoutes()) {
 				joined.publishProof(routesTopic, proven.newest);
 			}
 		},
 		describeStoreClock() {
 			const {bound, newest: proof} = proven;
-			if (bound === undefined || !isRequired()) {
+			if (bound === undefined || !hasRoutes()) {
 				return undefined;
 			}
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -53,7 +53,7 @@
 		const servers = yield* bindListeners(settings, adapter, log, components);
 		const socket = yield* Effect.promise(async () => components.openSocket());
 		const follower = followRoutes({
-			source: components.proofKeeper?.observe(adapter.routeSource) ?? adapter.routeSource,
+			source: components.proofKeeper.observe(adapter.routeSource),
 			holder: components.routesHolder,
 			log,
 			isPoller: components.isPoller,
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -43,6 +43,8 @@
 	table: z.string().min(1),
 	/** Nodes per failure domain that poll the table for routes; gossip informs the rest. */
 	pollersPerDomain: z.number().int().positive().default(1),
+	/** Time within which a change of the routes has to be in force at all nodes. */
+	configurationMilliseconds: milliseconds.default(3000),
 	/** Gossip addresses of other nodes, if any are known. */
 	seeds: z.array(z.string()).default([]),
 	stop: z.object({graceMilliseconds: milliseconds}),
--- a/test/process/refused-pollers.test.ts
+++ b/test/process/refused-pollers.test.ts
@@ -50,7 +50,9 @@
 
 async function listStatuses({nodes}: RelayMesh, path: string): Promise<number[]> {
 	const responses = await Promise.all(
-		nodes.map(async ({callersPort}) => sendNodeRequest(callersPort, path)),
+		nodes.map(async ({callersPort}, index) =>
+			sendNodeRequest(callersPort, path, {headers: {'x-request-id': `call-${index}`}}),
+		),
 	);
 	return responses.map(({status}) => status);
 }
--- a/test/relay/proof-of-lacking-version.test.ts
+++ b/test/relay/proof-of-lacking-version.test.ts
@@ -43,6 +43,7 @@
 	};
 	const keeper = createProofKeeper({
 		limitMilliseconds,
+		revocationMilliseconds: limitMilliseconds,
 		source: {
 			async check() {
 				table.questions += 1;
@@ -53,6 +54,7 @@
 		log: silentLog,
 		isPoller: () => false,
 		askPeer: async () => undefined,
+		onReading: () => undefined,
 		steadyTime: () => performance.now(),
 		random: () => 0.5,
 	});
