Let routes follow their announcement: asked nodes that lack them answer once they have them

Cause: the version is gossiped on by nodes that lack its document, and so outruns it. A round never left the own region but for the announcer, which mostly lacked the document too.

Why it works: a node that is asked for what it lacks says so and keeps the question for up to 0.4 s. The asker goes on to the next peer at once, while all it asked may still answer; so when the routes reach one node, they reach at once all that wait for it. From the second round on one peer of another region is asked.

--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -4,6 +4,7 @@
  */
 import type {Server} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {formatIngress} from '../call/index.js';
 import type {EventLog} from '../log/index.js';
 import {
@@ -20,6 +21,7 @@
 } from '../membership/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {PlatformAdapter} from './adapter.js';
+import {createAwaitedRoutes} from './awaited-routes.js';
 import {createCallerAdmission} from './caller-admission.js';
 import {createRelayRunner} from './call-runner.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
@@ -187,12 +189,17 @@
 		now,
 		onDecision: metrics.recordAllowance,
 	});
+	const awaitedRoutes = createAwaitedRoutes({
+		version: () => routesHolder.current()?.table.version ?? 0,
+		sleep,
+	});
 	const routesHolder = createRoutesHolder({
 		decode: adapter.decodeRoutes,
 		log,
 		now,
 		onChange(version) {
 			membership?.publishVersion(routesTopic, version);
+			awaitedRoutes.notify();
 			gate.applyRoutes();
 			allowances.updateTeams(routesHolder.current()?.table.teams ?? []);
 			gate.discoverServer();
@@ -310,6 +317,7 @@
 				const routes = routesHolder.current();
 				return routes && {version: routes.table.version, text: routes.text};
 			},
+			awaitedRoutes,
 			describeStoreClock: () => proofKeeper.describeStoreClock(),
 			inboundLink,
 			now,
--- a/src/relay/peer-listener.ts
+++ b/src/relay/peer-listener.ts
@@ -11,6 +11,7 @@
 import type {RunningAttempt} from '../call/index.js';
 import {refuseNonPeer, writeAttemptResult} from '../http/index.js';
 import type {InboundLink} from '../waiting/index.js';
+import type {AwaitedRoutes} from './awaited-routes.js';
 import type {RelayAttempt} from './call.js';
 import {parsePeerAttempt} from './peer-headers.js';
 import {receiveBody} from './receive-body.js';
@@ -19,6 +20,8 @@
 export const routesPath = '/foxtailtide/routes';
 /** Version above which the asking node wants the routes; without it, it gets any version. */
 export const newerThanHeader = 'foxtailtide-newer-than';
+/** How long the asking node waits for routes that the answering one lacks too, in milliseconds. */
+export const waitHeader = 'foxtailtide-wait-ms';
 /** What the answering node knows of the table's clock, and its newest proof of the routes. */
 export const storeClockHeader = 'foxtailtide-store-clock';
 
@@ -30,6 +33,8 @@
 	readonly run: (attempt: RelayAttempt) => RunningAttempt;
 	/** The active routes; undefined while there are none. */
 	readonly routes: () => PeerRoutes | undefined;
+	/** The questions that wait for routes. */
+	readonly awaitedRoutes: AwaitedRoutes;
 	/** Value of the header for the table's clock; undefined where no node needs it. */
 	readonly describeStoreClock: () => string | undefined;
 	/** The link over which bodies reach this VM. */
@@ -38,6 +43,7 @@
 	readonly now: () => number;
 };
 
+const maximumWaitMilliseconds = 1000;
 /** Limit for the caller's headers together with those of the attempt. */
 const maximumHeaderBytes = 131_072;
 
@@ -58,7 +64,7 @@
 		},
 		(request, response) => {
 			if (request.url === routesPath) {
-				sendRoutes(request, response, options);
+				void sendRoutes(request, response, options);
 				return;
 			}
 
@@ -67,26 +73,37 @@
 	);
 }
 
-function sendRoutes(
+async function sendRoutes(
 	request: IncomingMessage,
 	response: ServerResponse,
 	options: PeerListenerOptions,
-): void {
-	const routes = options.routes();
+): Promise<void> {
+	const {routes, awaitedRoutes} = options;
+	const newerThan = Number(request.headers[newerThanHeader] ?? 0);
+	const wait = Math.min(
+		maximumWaitMilliseconds,
+		Number(request.headers[waitHeader] ?? 0),
+	);
+	const isLacking = (routes()?.version ?? 0) <= newerThan;
+	if (isLacking && wait > 0 && !awaitedRoutes.isFull()) {
+		response.writeProcessing();
+		await awaitedRoutes.wait(newerThan, wait);
+	}
+
 	const storeClock = options.describeStoreClock();
 	if (storeClock !== undefined) {
 		response.setHeader(storeClockHeader, storeClock);
 	}
 
-	const newerThan = Number(request.headers[newerThanHeader] ?? 0);
-	if (routes === undefined || routes.version <= newerThan) {
+	const active = routes();
+	if (active === undefined || active.version <= newerThan) {
 		response.writeHead(404, {'content-length': '0'});
 		response.end();
 		return;
 	}
 
 	response.writeHead(200, {'content-type': 'application/json'});
-	response.end(routes.text);
+	response.end(active.text);
 }
 
 function handleAttempt(
--- /dev/null
+++ b/src/relay/peer-routes-question.ts
@@ -0,0 +1,68 @@
+/**
+ * Asks another node for routes newer than a version. A node that lacks them too says so at once and answers
+ * when it has them, for a limited time.
+ */
+import {Buffer} from 'node:buffer';
+import {request as sendRequest} from 'node:http';
+import {collectBody} from '../http/index.js';
+import type {Member} from '../membership/index.js';
+import {newerThanHeader, routesPath, waitHeader} from './peer-listener.js';
+
+export type RoutesQuestion = {
+	/** Only newer routes are wanted. */
+	readonly newerThan: number;
+	/** Called when the node lacks them, and will answer once it has them. */
+	readonly onWaiting: () => void;
+	/** Ends the question. */
+	readonly signal: AbortSignal;
+};
+
+/** Resolves to the document; undefined if the node has none in time or does not answer. */
+export type AskForRoutes = (
+	member: Member,
+	question: RoutesQuestion,
+) => Promise<string | undefined>;
+
+const processingStatus = 102;
+const maximumRoutesBytes = 4_194_304;
+const waitMilliseconds = 400;
+const timeoutMilliseconds = 700;
+
+/** Asks a node over HTTP. */
+export const askForRoutes: AskForRoutes = async ({host, peerPort}, question) =>
+	new Promise(resolve => {
+		const request = sendRequest({
+			host,
+			port: peerPort,
+			path: routesPath,
+			headers: {
+				[newerThanHeader]: String(question.newerThan),
+				[waitHeader]: String(waitMilliseconds),
+			},
+			agent: false,
+			signal: AbortSignal.any([
+				question.signal,
+				AbortSignal.timeout(timeoutMilliseconds),
+			]),
+		});
+		request.on('information', ({statusCode}) => {
+			if (statusCode === processingStatus) {
+				question.onWaiting();
+			}
+		});
+		request.on('response', response => {
+			if (response.statusCode !== 200) {
+				response.resume();
+				resolve(undefined);
+				return;
+			}
+
+			collectBody(response, maximumRoutesBytes, whole => {
+				resolve(whole && Buffer.from(whole).toString('utf8'));
+			});
+		});
+		request.on('error', () => {
+			resolve(undefined);
+		});
+		request.end();
+	});
--- a/src/relay/peer-routes.ts
+++ b/src/relay/peer-routes.ts
@@ -2,14 +2,11 @@
  * Fetches the routes from other nodes when gossip announces a newer version than this node has. A
  * node that cannot reach the table thus still gets changes.
  */
-import {Buffer} from 'node:buffer';
-import {request as sendRequest} from 'node:http';
 import {setTimeout as sleepFor} from 'node:timers/promises';
-import {collectBody} from '../http/index.js';
 import type {Logger} from '../log/index.js';
 import {memberStatuses, type Member, type Membership} from '../membership/index.js';
-import {newerThanHeader, routesPath} from './peer-listener.js';
 import type {RoutesHolder} from './active-routes.js';
+import {askForRoutes, type AskForRoutes} from './peer-routes-question.js';
 
 export type PeerRoutesOptions = {
 	readonly holder: RoutesHolder;
@@ -17,8 +14,8 @@
 	readonly log: Logger;
 	/** A number from 0 to below 1. */
 	readonly random: () => number;
-	/** Fetches routes newer than a version from another node; undefined if it gave none. */
-	readonly fetch?: (member: Member, version: number) => Promise<string | undefined>;
+	/** Asks another node for newer routes; over HTTP by default. */
+	readonly ask?: AskForRoutes;
 	/** Resolves after a time in milliseconds. */
 	readonly sleep?: (milliseconds: number) => Promise<unknown>;
 };
@@ -29,11 +26,9 @@
 export const routesTopic = 'routes';
 /** Random delay that spreads the fetches of nodes that learn of a version at the same time. */
 const maximumJitterMilliseconds = 100;
-/** Mean pause before the next round of fetches. */
-const roundPauseMilliseconds = 300;
-const maximumRoutesBytes = 4_194_304;
-const peerTimeoutMilliseconds = 500;
-/** Time after which the next node is asked. */
+/** Mean time from the start of a round of questions to the next one, if all peers answer in vain. */
+const minimumRoundMilliseconds = 300;
+/** Time after which the next node is asked if one says nothing. */
 const nextPeerMilliseconds = 150;
 /** Nodes asked in one round. */
 const peersPerRound = 6;
@@ -48,7 +43,7 @@
  */
 export function followPeerRoutes(options: PeerRoutesOptions): PeerRoutesFollower {
 	const {holder, membership, log, random} = options;
-	const {fetch = fetchRoutes, sleep = sleepFor} = options;
+	const {ask = askForRoutes, sleep = sleepFor} = options;
 	const state = {isClosed: false};
 	let isCatchingUp = false;
 
@@ -57,26 +52,49 @@
 		return announced > (holder.current()?.table.version ?? 0);
 	}
 
-	/** Asks the next peer when one has not answered after a short time; its answer still counts. */
-	async function fetchFromPeers(announcer: string | undefined): Promise<void> {
-		const order = orderPeers(membership, announcer, random);
-		for (const member of order.slice(0, peersPerRound)) {
-			const answer = activateFrom(member);
-			await Promise.race([answer, sleep(nextPeerMilliseconds)]);
+	/**
+	 * Asks the next peer as soon as one says that it lacks the routes too, or does not answer for a short
+	 * time. All those asked may still answer; the first that has the routes ends the round.
+	 */
+	async function fetchFromPeers(announcer: string | undefined, round: number) {
+		const members = choosePeers(membership, {announcer, round, random});
+		const controller = new AbortController();
+		const answers: Array<Promise<void>> = [];
+		const isComplete = createSignal();
+		for (const member of members) {
+			const isWaiting = createSignal();
+			const answer = activateFrom(member, controller.signal, isWaiting.raise);
+			answers.push(answer);
+			void answer.then(() => {
+				if (!isBehind()) {
+					isComplete.raise();
+				}
+			});
+			await Promise.race([answer, isWaiting.raised, sleep(nextPeerMilliseconds)]);
 			if (!isBehind()) {
-				return;
+				break;
 			}
 		}
+
+		await Promise.race([isComplete.raised, Promise.all(answers)]);
+		controller.abort();
 	}
 
-	async function activateFrom(member: Member): Promise<void> {
-		const text = await fetch(member, holder.current()?.table.version ?? 0);
-		if (text === undefined) {
-			log.info('peer gave no routes', {peer: member.nodeId});
+	async function activateFrom(
+		member: Member,
+		signal: AbortSignal,
+		onWaiting: () => void,
+	): Promise<void> {
+		const newerThan = holder.current()?.table.version ?? 0;
+		const text = await ask(member, {newerThan, onWaiting, signal});
+		if (text !== undefined) {
+			holder.activate(text, member.nodeId);
 			return;
 		}
 
-		holder.activate(text, member.nodeId);
+		if (!signal.aborted) {
+			log.info('peer gave no routes', {peer: member.nodeId});
+		}
 	}
 
 	async function catchUp(announcer?: string): Promise<void> {
@@ -87,7 +105,8 @@
 		isCatchingUp = true;
 		await sleep(maximumJitterMilliseconds * random());
 		for (let round = 1; isBehind() && !state.isClosed; round += 1) {
-			await fetchFromPeers(announcer);
+			const pause = sleep(minimumRoundMilliseconds * (0.5 + random()));
+			await fetchFromPeers(announcer, round);
 			if (isBehind()) {
 				log.info('routes still lacking', {
 					version: holder.current()?.table.version,
@@ -95,7 +114,7 @@
 					announcer,
 					round,
 				});
-				await sleep(roundPauseMilliseconds * (0.5 + random()));
+				await pause;
 			}
 		}
 
@@ -124,14 +143,46 @@
 	};
 }
 
+/** Something that happens at most once. */
+function createSignal(): {readonly raise: () => void; readonly raised: Promise<void>} {
+	let raise!: () => void;
+	const raised = new Promise<void>(resolve => {
+		raise = resolve;
+	});
+	return {raise, raised};
+}
+
+type RoundOptions = {
+	readonly announcer: string | undefined;
+	/** From one. */
+	readonly round: number;
+	/** A number from 0 to below 1. */
+	readonly random: () => number;
+};
+
 /**
- * Orders the nodes that may have a version: a few in this node's failure domain, where bytes cost
- * nothing, then the one that announced it, then those of this node's region, then the others.
+ * Chooses the nodes that are asked in a round: a few in this node's failure domain, where bytes cost
+ * nothing, then the one that announced the version, then those of this node's region, then the others. After
+ * the first round one node of another region is among them, since the own region may lack the version.
  */
+function choosePeers(
+	membership: Pick<Membership, 'all' | 'self'>,
+	options: RoundOptions,
+): Member[] {
+	const {region} = membership.self();
+	const ordered = orderPeers(membership, options);
+	const nearest = ordered.slice(0, peersPerRound);
+	const remote = ordered.find(member => member.region !== region);
+	if (options.round === 1 || remote === undefined || nearest.includes(remote)) {
+		return nearest;
+	}
+
+	return [...nearest.slice(0, peersPerRound - 1), remote];
+}
+
 function orderPeers(
 	membership: Pick<Membership, 'all' | 'self'>,
-	announcer: string | undefined,
-	random: () => number,
+	{announcer, random}: RoundOptions,
 ): Member[] {
 	const {nodeId: ownId, failureDomain, region} = membership.self();
 	const distanceRank = (member: Member): number => {
@@ -156,32 +207,3 @@
 	const near = ordered.filter(({rank}) => rank <= 1).slice(0, peersOfDomainPerRound);
 	return [...near, ...ordered.filter(({rank}) => rank > 1)].map(({member}) => member);
 }
-
-/** Fetches routes newer than a version; undefined if the node has none or does not respond in time. */
-async function fetchRoutes(member: Member, version: number): Promise<string | undefined> {
-	return new Promise(resolve => {
-		const request = sendRequest({
-			host: member.host,
-			port: member.peerPort,
-			path: routesPath,
-			headers: {[newerThanHeader]: String(version)},
-			agent: false,
-			signal: AbortSignal.timeout(peerTimeoutMilliseconds),
-		});
-		request.on('response', response => {
-			if (response.statusCode !== 200) {
-				response.resume();
-				resolve(undefined);
-				return;
-			}
-
-			collectBody(response, maximumRoutesBytes, whole => {
-				resolve(whole && Buffer.from(whole).toString('utf8'));
-			});
-		});
-		request.on('error', () => {
-			resolve(undefined);
-		});
-		request.end();
-	});
-}
--- a/test/relay/routes.test.ts
+++ b/test/relay/routes.test.ts
@@ -168,7 +168,7 @@
 		membership,
 		log: silentLog,
 		random: () => 0,
-		async fetch() {
+		async ask() {
 			asked += 1;
 			return asked > 7 ? '7' : undefined;
 		},
@@ -195,7 +195,7 @@
 		membership,
 		log: silentLog,
 		random: () => 0,
-		async fetch({nodeId}) {
+		async ask({nodeId}) {
 			order.push(nodeId);
 			return order.length === 4 ? '3' : undefined;
 		},
@@ -219,7 +219,7 @@
 		membership,
 		log: silentLog,
 		random: () => 0,
-		async fetch({nodeId}) {
+		async ask({nodeId}) {
 			order.push(nodeId);
 			return nodeId === 'announcer' ? '3' : undefined;
 		},
@@ -230,6 +230,54 @@
 	expect(order).toEqual(['one', 'two', 'announcer']);
 });
 
+test('a node gets from another region what neither its region nor the announcer has', async () => {
+	const holder = createHolder();
+	const near = ['one', 'two'].map(name => createMember(name, 'near'));
+	const sibling = ['three', 'four', 'five', 'six'].map(name => createMember(name, 'far'));
+	const remote = {...createMember('remote', 'distant'), region: 'inland'};
+	const {membership, announce} = createPeersView([...near, ...sibling, remote], 3);
+	const follower = followPeerRoutes({
+		holder,
+		membership,
+		log: silentLog,
+		random: () => 0,
+		ask: async ({nodeId}) => (nodeId === 'remote' ? '3' : undefined),
+	});
+	announce('six');
+	await waitUntil(() => holder.current() !== undefined);
+	follower.close();
+	expect(holder.current()?.table.version).toEqual(3);
+});
+
+test('a node asks the next peer at once when one lacks the version, and takes it from whichever has it first', async () => {
+	const holder = createHolder();
+	const members = ['one', 'two', 'three'].map(name => createMember(name, 'near'));
+	const {membership, announce} = createPeersView(members, 3);
+	const asked: string[] = [];
+	const ended: string[] = [];
+	const follower = followPeerRoutes({
+		holder,
+		membership,
+		log: silentLog,
+		random: () => 0,
+		async ask({nodeId}, {onWaiting, signal}) {
+			asked.push(nodeId);
+			signal.addEventListener('abort', () => ended.push(nodeId));
+			onWaiting();
+			await sleep(nodeId === 'one' ? 40 : 60_000, undefined, {ref: false});
+			return '3';
+		},
+	});
+	announce('three');
+	await waitUntil(() => ended.length > 0);
+	follower.close();
+	expect(holder.current()?.table.version).toEqual(3);
+	expect([asked, ended]).toEqual([
+		['three', 'one'],
+		['three', 'one'],
+	]);
+});
+
 test('a peer that does not answer holds up the routes only shortly', async () => {
 	const holder = createHolder();
 	const members = [createMember('silent', 'near'), createMember('announcer', 'far')];
@@ -239,7 +287,7 @@
 		membership,
 		log: silentLog,
 		random: () => 0,
-		async fetch({nodeId}) {
+		async ask({nodeId}) {
 			if (nodeId === 'announcer') {
 				return '3';
 			}
@@ -262,7 +310,7 @@
 		membership,
 		log: silentLog,
 		random: () => 0,
-		fetch: async () => '3',
+		ask: async () => '3',
 	});
 	await waitUntil(() => holder.current() !== undefined);
 	follower.close();
--- a/test/relay/simulated-routes.ts
+++ b/test/relay/simulated-routes.ts
@@ -4,6 +4,7 @@
  */
 import {setImmediate as afterCallbacks} from 'node:timers/promises';
 import type {Member, VersionListener} from '../../src/membership/index.js';
+import {createAwaitedRoutes, type AwaitedRoutes} from '../../src/relay/awaited-routes.js';
 import type {RoutesHolder} from '../../src/relay/active-routes.js';
 import {relayMembershipParameters} from '../../src/relay/membership-parameters.js';
 import {followPeerRoutes, routesTopic} from '../../src/relay/peer-routes.js';
@@ -19,6 +20,8 @@
 const domainRoundTrip = 2;
 const regionRoundTrip = 3;
 const remoteRoundTrip = 18;
+const waitMilliseconds = 400;
+const silenceMilliseconds = 700;
 const firstVersion = 1;
 export const changedVersion = 2;
 
@@ -31,7 +34,7 @@
 	readonly isServed: (member: Member) => boolean;
 	/** Whether a node neither answers other nodes in time nor passes anything on. */
 	readonly isSilent?: (member: Member) => boolean;
-	/** Time after which the simulation ends, in milliseconds. */
+	/** Time after which the simulation ends at the latest, in milliseconds. */
 	readonly bound: number;
 };
 
@@ -60,16 +63,21 @@
 	const delays = mesh.nodes.map(() => Number.POSITIVE_INFINITY);
 	const changedAt = mesh.now;
 	const count = {vain: 0};
-	const members = new Map<string, {node: MeshNode; holder: RoutesHolder}>();
+	const members = new Map<string, SimulatedNode>();
 	const listeners = mesh.nodes.map((node, index) => {
 		const holder = createVersionHolder(version => {
 			mesh.send(node, {kind: 'publishVersion', topic: routesTopic, version});
+			awaited.notify();
 			if (version === changedVersion) {
 				delays[index] = mesh.now - changedAt;
 			}
 		});
+		const awaited = createAwaitedRoutes({
+			version: () => holder.current()?.table.version ?? 0,
+			sleep: clock.sleep,
+		});
 		holder.activate(String(firstVersion), 'table');
-		members.set(node.nodeId, {node, holder});
+		members.set(node.nodeId, {node, holder, awaited});
 		return {node, holder};
 	});
 	const isSilent = (node: MeshNode) =>
@@ -90,19 +98,25 @@
 			log: silentLog,
 			random: mesh.random,
 			sleep: clock.sleep,
-			async fetch(member, version) {
+			async ask(member, {newerThan, onWaiting}) {
 				const peer = members.get(member.nodeId)!;
 				const roundTrip = chooseRoundTrip(node, peer.node);
 				await clock.sleep(roundTrip / 2);
 				if (isSilent(peer.node) || isSilent(node)) {
-					await clock.sleep(500);
+					await clock.sleep(silenceMilliseconds);
 					return undefined;
 				}
 
-				const found = peer.holder.current()!.table.version;
-				count.vain += found > version ? 0 : 1;
+				const lacks = () => peer.holder.current()!.table.version <= newerThan;
+				if (lacks()) {
+					count.vain += 1;
+					void clock.sleep(roundTrip / 2).then(onWaiting);
+					await peer.awaited.wait(newerThan, waitMilliseconds);
+				}
+
+				const text = lacks() ? undefined : peer.holder.current()!.text;
 				await clock.sleep(roundTrip / 2);
-				return found > version ? String(found) : undefined;
+				return text;
 			},
 		});
 		return (version: number, from: string) => {
@@ -116,7 +130,11 @@
 		}
 	}
 
-	while (mesh.now - changedAt < options.bound) {
+	const isPending = () =>
+		listeners.some(
+			({node}, index) => !isSilent(node) && delays[index] === Number.POSITIVE_INFINITY,
+		);
+	while (isPending() && mesh.now - changedAt < options.bound) {
 		mesh.run(1);
 		for (const [index, {node}] of listeners.entries()) {
 			for (const effect of node.effects.splice(0)) {
@@ -133,6 +151,12 @@
 	return {delays, vainQuestions: count.vain};
 }
 
+type SimulatedNode = {
+	readonly node: MeshNode;
+	readonly holder: RoutesHolder;
+	readonly awaited: AwaitedRoutes;
+};
+
 function chooseRoundTrip(from: MeshNode, to: MeshNode): number {
 	const [left, right] = [from.state.self.member, to.state.self.member];
 	if (left.region !== right.region) {
