Refuse keys where newer routes are known to exist and the own ones are older than changes may be

Seen by callers: a key that version 12 took away was accepted 3.13 s after the confirmation, where 3.0 s are allowed for nodes in touch. The 5 s for nodes that may be cut off were kept.

Cause: keys were accepted for 0.95 of 5 s after the last proof of the active routes, whatever else the node knew. A node that has heard of a newer version is in touch, and the shorter limit for changes binds it.

Evidence: the new test in test/proven-age failed before (keys by version 5 accepted 4.7 s after its proof, version 6 known) and passes now. The test of older versions now states equal limits, since it is about the longer one; its moments are unchanged.

Why it works: the proof of the active routes is a moment before the confirmation of the newer version, so a request accepted within 0.95 of the limit after it was sent within the limit after the confirmation. A node that has heard of nothing newer accepts keys as long as before.

--- a/src/proven-age/index.ts
+++ b/src/proven-age/index.ts
@@ -17,6 +17,7 @@
 	recordAnswer,
 	recordExchange,
 	recordProof,
+	type ProofLimits,
 	type ProvenRoutes,
 	type RoutesProof,
 } from './proven-routes.js';
--- a/src/proven-age/proven-routes.ts
+++ b/src/proven-age/proven-routes.ts
@@ -266,19 +266,32 @@
 /** Share of the limit that is kept for rounding and for the speed of clocks. */
 const marginShare = 0.05;
 
+/** Time limits for the use of routes after a newer version was confirmed, in milliseconds. */
+export type ProofLimits = {
+	/** For the keys of any node, cut off or not. */
+	readonly revocationMilliseconds: number;
+	/** For all changes at nodes in touch; one that has heard of a newer version is in touch. */
+	readonly configurationMilliseconds: number;
+};
+
 /**
  * Tells whether a version was the newest one recently enough for keys to be accepted by it.
  *
  * @param state the state
  * @param version the active version
- * @param limitMilliseconds time after which a withdrawn key must not be accepted
+ * @param limits time after which a withdrawn key must not be accepted
  * @param now local time in milliseconds
  */
 export function isProvenRecent(
 	state: ProvenRoutes,
 	version: number,
-	limitMilliseconds: number,
+	limits: ProofLimits,
 	now: number,
 ): boolean {
-	return ageOfProof(state, version, now) < limitMilliseconds * (1 - marginShare);
+	const {revocationMilliseconds, configurationMilliseconds} = limits;
+	const limit =
+		state.knownVersion > version
+			? Math.min(revocationMilliseconds, configurationMilliseconds)
+			: revocationMilliseconds;
+	return ageOfProof(state, version, now) < limit * (1 - marginShare);
 }
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -51,8 +51,6 @@
 /** A started node does not poll before it has learned of the others, or all started nodes would poll. */
 const pollerDelayMilliseconds = 2000;
 const responseBytesWeight = 0.1;
-/** The time limit for changes, as a share of the limit for the age of proofs. */
-const provenShareOfLimit = 0.6;
 
 /** Monotonic time in milliseconds; the clock of all components. */
 export const now = (): number => performance.now();
@@ -259,7 +257,7 @@
 	});
 	const {revocationMilliseconds} = settings.teams;
 	const proofKeeper = createProofKeeper({
-		limitMilliseconds: chooseProofLimit(settings),
+		configurationMilliseconds: settings.configurationMilliseconds,
 		revocationMilliseconds,
 		source: adapter.proofSource,
 		holder: routesHolder,
@@ -390,17 +388,6 @@
 	};
 }
 
-/**
- * A node that the table serves asks it at 0.44 of this limit at the latest. What it learns needs the rest of the
- * time to reach all nodes.
- */
-function chooseProofLimit({configurationMilliseconds, teams}: RelaySettings): number {
-	return Math.min(
-		configurationMilliseconds / provenShareOfLimit,
-		teams.revocationMilliseconds ?? Number.POSITIVE_INFINITY,
-	);
-}
-
 /** This node's part of the link between two regions, in megabits per second. */
 function findLinkPart(
 	{costs, node}: RelaySettings,
--- a/src/relay/proof-keeper.ts
+++ b/src/relay/proof-keeper.ts
@@ -50,8 +50,8 @@
 >;
 
 export type ProofKeeperOptions = {
-	/** Time limit of which the ages are shares at which nodes ask for a newer proof, in milliseconds. */
-	readonly limitMilliseconds: number;
+	/** Time after which a change must be in force at nodes in touch, in milliseconds. */
+	readonly configurationMilliseconds: number;
 	/** Time after which a key that was taken away must not be accepted; undefined for no limit. */
 	readonly revocationMilliseconds: number | undefined;
 	readonly source: ProofSource;
@@ -85,6 +85,8 @@
 /** Longest time without a look at whether a question is due. */
 const longestPauseMilliseconds = 500;
 const shortestPauseMilliseconds = 10;
+/** The time limit for changes, as a share of the limit for questions. */
+const configurationShare = 0.6;
 
 /**
  * Creates a keeper and starts it.
@@ -93,8 +95,9 @@
  * @returns the keeper
  */
 export function createProofKeeper(options: ProofKeeperOptions): ProofKeeper {
-	const {holder, log, steadyTime, random, limitMilliseconds} = options;
-	const {revocationMilliseconds} = options;
+	const {holder, log, steadyTime, random} = options;
+	const {revocationMilliseconds, configurationMilliseconds} = options;
+	const limitMilliseconds = chooseLimit(options);
 	const proven = createProvenRoutes();
 	let membership: ProofMembership | undefined;
 	let position: TablePosition | undefined;
@@ -120,7 +123,8 @@
 			return true;
 		}
 
-		const isRecent = isProvenRecent(proven, activeVersion(), revocationMilliseconds, now);
+		const limits = {revocationMilliseconds, configurationMilliseconds};
+		const isRecent = isProvenRecent(proven, activeVersion(), limits, now);
 		if (isRecent !== wasRecent) {
 			wasRecent = isRecent;
 			const fields = {
@@ -370,3 +374,21 @@
 		},
 	};
 }
+
+/**
+ * Chooses the limit of which the ages are shares at which nodes ask for a newer proof. A node that the table
+ * serves asks it at 0.44 of this limit at the latest. What it learns needs the rest of the time to reach all
+ * nodes.
+ */
+function chooseLimit(
+	options: Pick<
+		ProofKeeperOptions,
+		'configurationMilliseconds' | 'revocationMilliseconds'
+	>,
+): number {
+	const {configurationMilliseconds, revocationMilliseconds} = options;
+	return Math.min(
+		configurationMilliseconds / configurationShare,
+		revocationMilliseconds ?? Number.POSITIVE_INFINITY,
+	);
+}
--- a/test/proven-age/proven-routes.test.ts
+++ b/test/proven-age/proven-routes.test.ts
@@ -16,7 +16,7 @@
 	type RoutesProof,
 } from '../../src/proven-age/index.js';
 
-const limit = 5000;
+const limits = {revocationMilliseconds: 5000, configurationMilliseconds: 3000};
 
 test('time counts suspensions and steps forward, and never falls behind', () => {
 	const cases: ReadonlyArray<{
@@ -92,12 +92,12 @@
 test('a proof without a bound of its era is placed once there is one', () => {
 	const state = createProvenRoutes();
 	recordProof(state, {era: 2, provenAt: 10_400, version: 3}, 1000);
-	expect([lacksBound(state), isProvenRecent(state, 3, limit, 1000)]).toEqual([
+	expect([lacksBound(state), isProvenRecent(state, 3, limits, 1000)]).toEqual([
 		true,
 		false,
 	]);
 	recordExchange(state, {era: 2, sentAt: 900, storeTime: 10_500}, 1000);
-	expect([lacksBound(state), isProvenRecent(state, 3, limit, 1000)]).toEqual([
+	expect([lacksBound(state), isProvenRecent(state, 3, limits, 1000)]).toEqual([
 		false,
 		true,
 	]);
@@ -109,8 +109,19 @@
 	recordAnswer(state, {...answer, sentAt: 1100, storeTime: 51_000, version: 6}, 1101);
 	expect(Math.round(ageOfProof(state, 5, 1200))).toEqual(1100);
 	expect(Math.round(ageOfProof(state, 6, 1200))).toEqual(100);
-	expect(isProvenRecent(state, 5, limit, 4800)).toEqual(true);
-	expect(isProvenRecent(state, 5, limit, 4900)).toEqual(false);
+	const sameLimits = {...limits, configurationMilliseconds: 5000};
+	expect(isProvenRecent(state, 5, sameLimits, 4800)).toEqual(true);
+	expect(isProvenRecent(state, 5, sameLimits, 4900)).toEqual(false);
+});
+
+test('a node that knows of a newer version uses its own only within the limit for changes', () => {
+	const state = createProvenRoutes();
+	recordAnswer(state, answer, 101);
+	expect(isProvenRecent(state, 5, limits, 4800)).toEqual(true);
+	noteVersion(state, 6);
+	expect(isProvenRecent(state, 5, limits, 2900)).toEqual(true);
+	expect(isProvenRecent(state, 5, limits, 3000)).toEqual(false);
+	expect(isProvenRecent(state, 6, limits, 4800)).toEqual(true);
 });
 
 test('a restored table proves nothing about versions that were lost', () => {
@@ -119,8 +130,8 @@
 	noteVersion(state, 7);
 	const restored = {...answer, era: 2, sentAt: 6000, storeTime: 9, version: 5};
 	expect(recordAnswer(state, restored, 6001)?.version).toEqual(7);
-	expect(isProvenRecent(state, 5, limit, 6001)).toEqual(false);
-	expect(isProvenRecent(state, 7, limit, 6001)).toEqual(true);
+	expect(isProvenRecent(state, 5, limits, 6001)).toEqual(false);
+	expect(isProvenRecent(state, 7, limits, 6001)).toEqual(true);
 });
 
 test('nothing is taken from an answer that belongs to an earlier question', () => {
@@ -128,7 +139,7 @@
 	recordAnswer(state, answer, 101);
 	const stale = {...answer, sentAt: 4000, storeTime: 50_000 - 1};
 	expect(recordAnswer(state, stale, 4001)).toEqual(undefined);
-	expect(isProvenRecent(state, 5, limit, 5000)).toEqual(false);
+	expect(isProvenRecent(state, 5, limits, 5000)).toEqual(false);
 	expect(lacksBound(state)).toEqual(true);
 });
 
@@ -137,7 +148,7 @@
 	recordExchange(state, {era: 1, sentAt: 0, storeTime: 10_000}, 0);
 	recordProof(state, {era: 1, provenAt: 99_000, version: 3}, 10);
 	recordProof(state, {era: 1, provenAt: 10_005, version: 3}, 20);
-	expect(isProvenRecent(state, 3, limit, 20)).toEqual(true);
+	expect(isProvenRecent(state, 3, limits, 20)).toEqual(true);
 });
 
 /**
@@ -308,11 +319,14 @@
 		listUnsound: () =>
 			nodes.filter(node => {
 				const replacedAt = changedAt[node.version + 1];
-				const isOutdated = replacedAt !== undefined && time - replacedAt > limit;
-				return isOutdated && isProvenRecent(node.proven, node.version, limit, read(node));
+				const isOutdated =
+					replacedAt !== undefined && time - replacedAt > limits.revocationMilliseconds;
+				return (
+					isOutdated && isProvenRecent(node.proven, node.version, limits, read(node))
+				);
 			}),
 		countRecent: () =>
-			nodes.filter(node => isProvenRecent(node.proven, node.version, limit, read(node)))
+			nodes.filter(node => isProvenRecent(node.proven, node.version, limits, read(node)))
 				.length,
 	};
 }
--- a/test/relay/proof-of-lacking-version.test.ts
+++ b/test/relay/proof-of-lacking-version.test.ts
@@ -42,7 +42,7 @@
 		self: () => describeMember({nodeId: 'self'}),
 	};
 	const keeper = createProofKeeper({
-		limitMilliseconds,
+		configurationMilliseconds: limitMilliseconds,
 		revocationMilliseconds: limitMilliseconds,
 		source: {
 			async check() {
