State the versions that changed last in probes, whatever the number of topics

Seen by callers: nothing yet; found while looking for the cause of late changes elsewhere. With several evacuations on record, a node that missed the rumour of a change went on with older routes for up to ten seconds.

Cause: probes stated the versions of all topics, but of none once there were more than four; each evacuated failure domain is one. What a lost rumour left out then waited for the next sync.

Why it works: the topics that were raised last are kept in order, and each probe states four of them. A probe is sent and answered about once a second.

--- a/src/membership/send.ts
+++ b/src/membership/send.ts
@@ -6,13 +6,10 @@
 import {countTransmissions} from './parameters.js';
 import {type EventContext, type MembershipState} from './state.js';
 
-/** Number of topics up to which every probe states their versions. */
-const maximumStatedTopics = 4;
-
 /**
  * Sends a probe, an answer to one, or a notice of a suspicion or a stop. It may use the whole
  * budget, including the reserve for such packets; piggybacked rumours may not use the reserve. Every
- * such packet states the versions and proofs of a few topics, so that a member that missed the rumour
+ * such packet states the versions and proofs of the topics that were raised last, so that a member that missed the rumour
  * of one learns of it with its next probe, not only with its next sync.
  *
  * @param context context of the event
@@ -29,7 +26,7 @@
 ): boolean {
 	const {state} = context;
 	const from = state.self.member.nodeId;
-	const required = [...rumours, ...listFewVersions(state)];
+	const required = [...rumours, ...listRecentVersions(state)];
 	const bare = encodePacket({from, body, rumours: required});
 	const piggybacked = dequeuePiggybackedRumours(context, bare.length);
 	const bytes =
@@ -90,19 +87,16 @@
 	return budget.tokens - parameters.probeReserveBytes;
 }
 
-/** Lists the versions and proofs if there are only a few; the digest of a sync covers more versions. */
-function listFewVersions({topics, proofs}: MembershipState): Rumour[] {
+/** Lists the versions and proofs that changed last; a sync repairs what was missed of the others. */
+function listRecentVersions(state: MembershipState): Rumour[] {
+	const {topics, proofs, recentTopics, recentProofs} = state;
 	const rumours: Rumour[] = [];
-	if (topics.size <= maximumStatedTopics) {
-		for (const [topic, version] of topics) {
-			rumours.push({kind: 'version', topic, version});
-		}
+	for (const topic of recentTopics) {
+		rumours.push({kind: 'version', topic, version: topics.get(topic)!});
 	}
 
-	if (proofs.size <= maximumStatedTopics) {
-		for (const [topic, proof] of proofs) {
-			rumours.push({kind: 'proof', topic, ...proof});
-		}
+	for (const topic of recentProofs) {
+		rumours.push({kind: 'proof', topic, ...proofs.get(topic)!});
 	}
 
 	return rumours;
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -81,6 +81,10 @@
 	readonly priorityProbes: Map<string, Standing>;
 	readonly relayedProbes: Map<number, RelayedProbe>;
 	readonly topics: Map<string, number>;
+	/** The topics that were raised last, the latest at the end. */
+	recentTopics: readonly string[];
+	/** The topics whose proofs were renewed last, the latest at the end. */
+	recentProofs: readonly string[];
 	/** The newest proof of each topic that has one. */
 	readonly proofs: Map<string, TopicProof>;
 	readonly announcements: Map<string, StoredAnnouncement>;
@@ -197,6 +201,8 @@
 		priorityProbes: new Map(),
 		relayedProbes: new Map(),
 		topics: new Map(),
+		recentTopics: [],
+		recentProofs: [],
 		proofs: new Map(),
 		announcements: new Map(),
 		wantedServices: new Set(),
--- a/src/membership/versions-and-announcements.ts
+++ b/src/membership/versions-and-announcements.ts
@@ -4,6 +4,9 @@
 import {type Rumour, type TopicProof} from './message.js';
 import {type EventContext} from './state.js';
 
+/** Number of topics that every probe states. */
+const maximumRecentTopics = 4;
+
 /**
  * Raises the version of a topic and queues it for gossip.
  *
@@ -27,6 +30,7 @@
 	}
 
 	topics.set(topic, version);
+	context.state.recentTopics = moveToEnd(context.state.recentTopics, topic);
 	enqueueRumour(rumourQueue, {kind: 'version', topic, version});
 	if (from !== undefined) {
 		context.effects.push({kind: 'versionRaised', topic, version, from});
@@ -61,6 +65,7 @@
 
 	const proof = {version, era, provenAt};
 	proofs.set(topic, proof);
+	context.state.recentProofs = moveToEnd(context.state.recentProofs, topic);
 	enqueueRumour(rumourQueue, {kind: 'proof', topic, ...proof});
 	if (!isOwn) {
 		context.effects.push({kind: 'proofRenewed', topic, proof});
@@ -161,3 +166,7 @@
 
 	return digest;
 }
+
+function moveToEnd(recent: readonly string[], topic: string): readonly string[] {
+	return [...recent.filter(other => other !== topic), topic].slice(-maximumRecentTopics);
+}
--- a/test/membership/versions-and-announcements.test.ts
+++ b/test/membership/versions-and-announcements.test.ts
@@ -75,6 +75,29 @@
 	expect(mesh.runUntil(knows, 10 * second) === undefined).toEqual(false);
 });
 
+test('a member that missed a change learns of it with the next probes, however many topics there are', () => {
+	const delays = [1, 2, 3, 4, 5].map(seed => {
+		const mesh = createMesh({seed, parameters: relayMembershipParameters});
+		const nodes = startMembers(mesh, 40);
+		const publish = (topic: string, version: number) => {
+			mesh.send(nodes[0]!, {kind: 'publishVersion', topic, version});
+		};
+
+		for (let domain = 0; domain < 6; domain += 1) {
+			publish(`evacuation:${domain}`, 1);
+		}
+
+		mesh.run(20 * second);
+		// The rumour is no longer passed on when the member can be reached again.
+		mesh.isCut = (_from, to) => to === nodes[7];
+		publish('routes', 2);
+		mesh.run(0.8 * second);
+		mesh.isCut = () => false;
+		return mesh.runUntil(() => nodes[7]!.state.topics.get('routes') === 2, 20 * second);
+	});
+	expect(delays.filter(delay => delay === undefined || delay > 2 * second)).toEqual([]);
+});
+
 test('of proofs only the one with the newest era and time is kept, with the version that it names', () => {
 	const proofs = [
 		{version: 5, era: 1, provenAt: 900},
