--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -51,6 +51,21 @@
 	});
 });
 
+test('a question for a proof tells of evacuations too, with and without a position', async context => {
+	const {store, proofSource} = await startStore(context);
+	store.putConfiguration({version: 'r1'});
+	store.putEvacuation('coast-1');
+	const whole = await proofSource.check(undefined);
+	const first = whole._unsafeUnwrap();
+	expect(first.evacuations.map(({domain}) => domain)).toEqual(['coast-1']);
+	expect(first.isComplete).toEqual(true);
+	store.removeEvacuation('coast-1');
+	const change = await proofSource.check(first.position);
+	const next = change._unsafeUnwrap();
+	expect(next.evacuations.map(({isEvacuated}) => isEvacuated)).toEqual([false]);
+	expect(next.isComplete).toEqual(false);
+});
+
 test('evacuations are read in full, and followed until they are taken back', async context => {
 	const {store, routeSource} = await startStore(context);
 	store.putConfiguration({version: 'r1'});
