Take a response for a request's own only if it bears the request's id, also one that says it has not run

Seen by callers of systems like ours: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told to try again what had run. It could happen here.

Cause: a response that declares 'not run', or status 421, was believed before its id was looked at, and a response without any id always was. Health questions share the connections of requests, and any response passed for theirs.

Why it works: the id has to be that of the request; without one the response counts only on a connection that carried nothing before, where there is nothing to repeat. What does not fit proves nothing about this request: it is lost, and its connection and the idle ones are closed.

--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -38,6 +38,8 @@
 	readonly body: Body;
 	/** Whether only the close of the connection marks the end of the body. */
 	readonly isCloseDelimited: boolean;
+	/** Whether the connection had carried other requests before. */
+	readonly isReused: boolean;
 };
 
 export type ExchangeFailed = {
@@ -242,6 +244,7 @@
 			rawHeaders: response.rawHeaders,
 			body,
 			isCloseDelimited: hasBody(request, response) && lacksFraming(response),
+			isReused: request.reusedSocket,
 		});
 	};
 
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -189,6 +189,7 @@
 			const fault = findResponseFault(result, metadata, call);
 			if (fault !== undefined) {
 				avoidPooledConnections();
+				discardConnections();
 			}
 
 			return fault === undefined
@@ -228,6 +229,16 @@
 		avoidPooledUntil = now() + pooledAvoidanceMilliseconds;
 	}
 
+	function discardConnections(): void {
+		const previous = pooled;
+		pooled = createKeepAliveAgent(options);
+		// Requests in flight finish on the old connections, which are not used again.
+		previous.maxFreeSockets = 0;
+		for (const socket of Object.values(previous.freeSockets).flat()) {
+			socket?.destroy();
+		}
+	}
+
 	async function probe(
 		target: ServerTarget,
 		path: string,
@@ -263,6 +274,12 @@
 				exchange.cancel();
 			}
 
+			// The response to a request, written once more; the one to this question is still to come.
+			if (protocol.readServerResponse(result.status, result.rawHeaders).requestId) {
+				discardConnections();
+				return unknownHealth;
+			}
+
 			return protocol.readServerHealth(result.status, result.rawHeaders);
 		}
 
@@ -273,15 +290,7 @@
 	return {
 		start,
 		probe,
-		discardConnections() {
-			const previous = pooled;
-			pooled = createKeepAliveAgent(options);
-			// Requests in flight finish on the old connections, which are not used again.
-			previous.maxFreeSockets = 0;
-			for (const socket of Object.values(previous.freeSockets).flat()) {
-				socket?.destroy();
-			}
-		},
+		discardConnections,
 		close() {
 			pooled.destroy();
 			unpooled.destroy();
@@ -303,12 +312,17 @@
 	metadata: ServerResponseMetadata,
 	call: RelayCall,
 ): string | undefined {
-	if (metadata.declaredNotRun || metadata.isOtherServer) {
-		return undefined;
+	// On a connection that carried requests before, a server may write an earlier response once more.
+	const isForThis =
+		metadata.requestId === undefined
+			? !response.isReused
+			: metadata.requestId === call.requestId;
+	if (!isForThis) {
+		return 'the response is for another request';
 	}
 
-	if (metadata.requestId !== undefined && metadata.requestId !== call.requestId) {
-		return 'the response is for another request';
+	if (metadata.declaredNotRun || metadata.isOtherServer) {
+		return undefined;
 	}
 
 	const isSuccess = response.status >= 200 && response.status < 300;
