Refuse odd numbers and names of other writers before they reach what is passed on

Reported of systems like ours: one odd entry (deep nesting, a number too large, a port out of range) ended the machines that read it again and again, or they stopped following. It could happen here in three places.

Cause: a heartbeat with 2^32 slots was accepted, and from then on every packet with the node's own record failed to be encoded, so that its gossip stopped; its concurrency limit also counts down from the slots. An id or a topic over 200 characters was sent, and all members refused each packet that stated it. One row of the store that could not be read made its whole page unreadable, so that seeds and routes were no longer followed.

--- a/src/membership/rumour-codec.ts
+++ b/src/membership/rumour-codec.ts
@@ -148,6 +148,11 @@
 	return combineRecord(member, detailRevision, standing);
 }
 
+/** Tells whether a text can be sent as a name; members refuse packets with any other. */
+export function isName(text: string): boolean {
+	return text !== '' && text.length <= maximumNameLength;
+}
+
 /**
  * Checks a received name.
  *
@@ -155,7 +160,7 @@
  * @returns the name; throws a RangeError when it is missing, empty or too long
  */
 export function readName(name: string | undefined): string {
-	if (name === undefined || name === '' || name.length > maximumNameLength) {
+	if (name === undefined || !isName(name)) {
 		throw new RangeError('name is missing, empty or too long');
 	}
 
--- a/src/membership/self.ts
+++ b/src/membership/self.ts
@@ -9,6 +9,9 @@
 import {putRecord} from './roster.js';
 import {type SelfPatch, type EventContext} from './state.js';
 
+/** What the encoding holds; a larger number would keep this node from sending its record. */
+const maximumSlots = 0xff_ff_ff_ff;
+
 /**
  * Changes this node's own record and queues it for gossip.
  *
@@ -19,7 +22,7 @@
 	const {state} = context;
 	const {member, standing} = state.self;
 	const service = 'service' in patch ? patch.service : member.service;
-	const slots = patch.slots ?? member.slots;
+	const slots = Math.min(patch.slots ?? member.slots, maximumSlots);
 	const status = patch.status ?? member.status;
 	if (service === member.service && slots === member.slots && status === member.status) {
 		return;
--- a/src/membership/versions-and-announcements.ts
+++ b/src/membership/versions-and-announcements.ts
@@ -2,6 +2,7 @@
 import {enqueueRumour} from './rumour-queue.js';
 import {hashText, toggleDigest} from './hash.js';
 import {type Rumour, type TopicProof} from './message.js';
+import {isName} from './rumour-codec.js';
 import {type EventContext} from './state.js';
 
 /** Number of topics that every probe states. */
@@ -24,7 +25,8 @@
 ): boolean {
 	const {topics, rumourQueue, parameters} = context.state;
 	const known = topics.get(topic);
-	const isKnownOrFits = known !== undefined || topics.size < parameters.maximumTopics;
+	const isKnownOrFits =
+		known !== undefined || (topics.size < parameters.maximumTopics && isName(topic));
 	if (!isKnownOrFits || (known !== undefined && known >= version)) {
 		return false;
 	}
@@ -57,7 +59,7 @@
 	const known = proofs.get(topic);
 	const isNewer =
 		known === undefined
-			? proofs.size < parameters.maximumTopics
+			? proofs.size < parameters.maximumTopics && isName(topic)
 			: era > known.era || (era === known.era && provenAt > known.provenAt);
 	if (!isNewer) {
 		return;
@@ -87,7 +89,7 @@
 ): boolean {
 	const {announcements, rumourQueue, parameters} = context.state;
 	const {id, payload, remainingMilliseconds} = announcement;
-	const isTooLong = payload.length > parameters.maximumAnnouncementBytes;
+	const isTooLong = payload.length > parameters.maximumAnnouncementBytes || !isName(id);
 	if (announcements.has(id) || isTooLong || remainingMilliseconds <= 0) {
 		return false;
 	}
--- a/test/membership/versions-and-announcements.test.ts
+++ b/test/membership/versions-and-announcements.test.ts
@@ -98,6 +98,23 @@
 	expect(delays.filter(delay => delay === undefined || delay > 2 * second)).toEqual([]);
 });
 
+test('what cannot be sent is not kept, and does not keep a member from sending the rest', () => {
+	const mesh = createMesh({seed: 13});
+	const [node, other] = startMembers(mesh, 4);
+	const long = 'x'.repeat(300);
+	const proof = {version: 1, era: 1, provenAt: 1};
+	const payload = new Uint8Array(0);
+	mesh.send(node!, {kind: 'publishVersion', topic: long, version: 1});
+	mesh.send(node!, {kind: 'publishProof', topic: long, proof});
+	mesh.send(node!, {kind: 'announce', id: long, payload, lifetimeMilliseconds: 9000});
+	mesh.send(node!, {kind: 'updateSelf', patch: {service: 'odd', slots: 2 ** 40}});
+	mesh.send(node!, {kind: 'publishVersion', topic: 'routes', version: 7});
+	mesh.run(3 * second);
+	expect([...other!.state.topics]).toEqual([['routes', 7]]);
+	expect(other!.state.announcements.size).toEqual(0);
+	expect(other!.state.roster.records.get(node!.nodeId)?.member.service).toEqual('odd');
+});
+
 test('of proofs only the one with the newest era and time is kept, with the version that it names', () => {
 	const proofs = [
 		{version: 5, era: 1, provenAt: 900},
--- a/test/platform/announcement-listener.test.ts
+++ b/test/platform/announcement-listener.test.ts
@@ -78,6 +78,37 @@
 		formatPost('/Instances.Heartbeat/one', '{"addr":4}'),
 		400,
 	],
+	[
+		'a deeply nested heartbeat',
+		formatPost('/Instances.Heartbeat/one', `${'{"info":['.repeat(6000)}`),
+		400,
+	],
+	[
+		'a heartbeat with a deeply nested field',
+		formatPost(
+			'/Instances.Heartbeat/one',
+			heartbeat.replace('"bookings"', `${'['.repeat(30_000)}${']'.repeat(30_000)}`),
+		),
+		400,
+	],
+	...[
+		['"capacity":4', '"capacity":4294967296'],
+		['"capacity":4', '"capacity":9e15'],
+		['"capacity":4', '"capacity":1e400'],
+		['"sequence":1', '"sequence":1e300'],
+		['"born":1', '"born":1e300'],
+		['"warmup-ms":0', '"warmup-ms":1e300'],
+		['"warmup-ms":0', '"warmup-ms":-1'],
+	].map(([from, to]): readonly [string, string, number] => [
+		`a heartbeat with ${to}`,
+		formatPost('/Instances.Heartbeat/one', heartbeat.replace(from!, to!)),
+		400,
+	]),
+	[
+		'a deregistration with an id that cannot be passed on',
+		formatPost(`/Instances.Deregister/${'i'.repeat(300)}`, '{}'),
+		404,
+	],
 	['bytes that are not HTTP', '\u0001\u0002\r\n\r\n', 400],
 ];
 for (const [name, bytes, status] of refused) {
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,4 +1,5 @@
 /** The client of the platform's store against the stand-in, over a restore. */
+import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -106,3 +107,28 @@
 		'coast-2',
 	]);
 });
+
+test('a row that cannot be read hides none of the others', async context => {
+	const rows = [
+		{key: 4, ver: 2},
+		'odd',
+		{key: 'members/coast-1/0', value: 'bm9kZQ==', ver: 3},
+		{key: 'members/coast-1/1', value: ['['], ver: 1e300},
+		{key: 'members/coast-1/2', value: 'bm9kZQ==', ver: null},
+	];
+	const server = createServer((_request, response) => {
+		response.end(JSON.stringify({rows, ver: 9}));
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	const {table} = createStoreClient(`127.0.0.1:${port}`);
+	context.after(() => {
+		table.close();
+		server.close();
+		server.closeAllConnections();
+	});
+	const page = await table.list({prefix: 'members/'});
+	expect(page._unsafeUnwrap().rows.map(({value}) => value)).toEqual(['node']);
+});
