Mark the end of every response between nodes, and name the attempt that it answers

Reported of systems like ours: a response that broke off reached the caller as whole, and a refusal written once more was believed. Between our nodes both could happen.

Cause: a server may mark the end of its response by closing the connection, and the node beside it passed this on to the other node, where the end of the node's own process looks the same. And nothing tied a response to its attempt.

Evidence: test/relay/peer-hop cuts responses after each byte, closed and reset. Those that a server ended by a close were taken for whole after 14 of their bytes in both ways before, now never; heads cut at any byte were lost before too. A refusal written once more by a node counted for the next attempt; now it is lost.

Why it works: a node sends such a response with a length or in chunks, and states in a header how the server had marked its end, so that callers still get it as the server sent it. Each response names its attempt.

--- a/src/http/peer-result.ts
+++ b/src/http/peer-result.ts
@@ -50,7 +50,9 @@
 			status: result.status,
 			headers: copyEndToEndHeaders(result.rawHeaders),
 			body: result.body,
-			isCloseDelimited: result.isCloseDelimited,
+			isCloseDelimited:
+				result.isCloseDelimited ||
+				findHeader(result.rawHeaders, headerNames.closeDelimited) !== undefined,
 			load,
 		};
 	}
--- a/src/http/response.ts
+++ b/src/http/response.ts
@@ -66,6 +66,22 @@
 	});
 }
 
+/**
+ * Writes a server's response for another node. Its end is always marked, since the close of the connection may
+ * also mean that this node has ended; that the server marked it by a close is stated in a header.
+ */
+function writePeerResponse(
+	response: ServerResponse,
+	serverResponse: AttemptAnswered,
+	extra: ExtraHeaders,
+): void {
+	const mark = serverResponse.isCloseDelimited ? [headerNames.closeDelimited, '1'] : [];
+	writeResponse(response, {...serverResponse, isCloseDelimited: false}, [
+		...extra,
+		...mark,
+	]);
+}
+
 /** A body that was received in chunks is now buffered, so its length is known. */
 function needsContentLength(
 	response: ServerResponse,
@@ -142,7 +158,7 @@
 	extra: ExtraHeaders = [],
 ): void {
 	if (result.kind === attemptResultKinds.answered) {
-		writeResponse(response, result, extra);
+		writePeerResponse(response, result, extra);
 		return;
 	}
 
--- a/src/relay/peer-client.ts
+++ b/src/relay/peer-client.ts
@@ -21,7 +21,7 @@
 import type {Member} from '../membership/index.js';
 import type {RelayAttempt} from './call.js';
 import type {GateSocket} from './gate-socket.js';
-import {buildPeerHeaders} from './peer-headers.js';
+import {buildPeerHeaders, isResponseTo} from './peer-headers.js';
 import {maximumBufferedResponseBytes} from './server-exchange.js';
 
 export type PeerClientOptions = {
@@ -98,6 +98,13 @@
 
 		const response = exchange.result.then(async result => {
 			acknowledge();
+			if (
+				result.kind === exchangeKinds.answered &&
+				!isResponseTo(result.rawHeaders, attempt.id)
+			) {
+				return createForeignResult();
+			}
+
 			if (result.kind !== exchangeKinds.lost || isCancelled) {
 				return readPeerResult(result);
 			}
@@ -232,3 +239,10 @@
 		load: undefined,
 	};
 }
+
+function createForeignResult(): AttemptResult {
+	return {
+		kind: attemptResultKinds.lost,
+		message: 'the node responded to another attempt',
+	};
+}
--- a/src/relay/peer-headers.ts
+++ b/src/relay/peer-headers.ts
@@ -4,6 +4,7 @@
 	findHeader,
 	formatAttemptId,
 	parseAttemptId,
+	type AttemptId,
 	type Body,
 	type HeaderList,
 } from '../call/index.js';
@@ -70,6 +71,28 @@
 	];
 }
 
+/**
+ * Builds the header that names the attempt in its response.
+ *
+ * @param id the attempt
+ * @returns name and value
+ */
+export function buildResponseHeaders(id: AttemptId): string[] {
+	return [names.attempt, formatAttemptId(id)];
+}
+
+/**
+ * Tells whether a response may be the one to an attempt. One that names none is of a node that does not
+ * name them yet.
+ *
+ * @param headers headers of the response
+ * @param id the attempt
+ */
+export function isResponseTo(headers: HeaderList, id: AttemptId): boolean {
+	const named = findHeader(headers, names.attempt);
+	return named === undefined || named === formatAttemptId(id);
+}
+
 /** A received attempt without its body. */
 export type PeerRequestHead = {
 	readonly method: string;
--- a/src/relay/peer-listener.ts
+++ b/src/relay/peer-listener.ts
@@ -13,7 +13,7 @@
 import type {InboundLink} from '../waiting/index.js';
 import type {AwaitedRoutes} from './awaited-routes.js';
 import type {RelayAttempt} from './call.js';
-import {parsePeerAttempt} from './peer-headers.js';
+import {buildResponseHeaders, parsePeerAttempt} from './peer-headers.js';
 import {receiveBody} from './receive-body.js';
 
 /** Path of the active routes. */
@@ -128,7 +128,7 @@
 		response.once('close', running.cancel);
 		void running.result.then(result => {
 			response.removeListener('close', running.cancel);
-			writeAttemptResult(response, result);
+			writeAttemptResult(response, result, buildResponseHeaders(attempt.id));
 		});
 	});
 }
