Tell a reset that follows a response at once from its orderly end

Found while its heads were cut at each byte: a response whose end the server marks by closing the connection was taken for whole if the connection was reset right after some of its bytes.

Cause: the runtime reports a reset that arrives together with the last bytes as an end of the stream, and drops the error.

Two new cases of test/http/exchange failed before and pass now.

Why it works: at the end of such a response an empty line is written to the connection, which fails after a reset. It is written only after a complete request, where it means nothing to a peer that still reads.

--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -10,7 +10,7 @@
 	type IncomingMessage,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import {pipeline, type Readable} from 'node:stream';
+import {pipeline, Transform, type Readable} from 'node:stream';
 import {findHeader, isBuffered, type Body, type HeaderList} from '../call/index.js';
 import {bufferOrStream} from './buffer-body.js';
 
@@ -237,13 +237,15 @@
 ): void {
 	const {request, response, progress} = context;
 	closeAfterEarlyResponse(request, response);
+	const isCloseDelimited = hasBody(request, response) && lacksFraming(response);
+	const resets = isCloseDelimited ? detectReset(request) : Promise.resolve(undefined);
 	const resolveWith = (body: Body): void => {
 		resolve({
 			kind: exchangeKinds.answered,
 			status: response.statusCode!,
 			rawHeaders: response.rawHeaders,
-			body,
-			isCloseDelimited: hasBody(request, response) && lacksFraming(response),
+			body: isBuffered(body) || !isCloseDelimited ? body : endUnlessReset(body, resets),
+			isCloseDelimited,
 			isReused: request.reusedSocket,
 		});
 	};
@@ -255,13 +257,69 @@
 
 	const limit = Math.max(bufferedBodyLimitBytes, context.bufferLimitBytes ?? 0);
 	bufferOrStream(response, limit, (body, error) => {
-		if (body) {
+		if (body === undefined) {
+			resolve(createFailure(error, progress));
+			return;
+		}
+
+		if (!isBuffered(body)) {
 			resolveWith(body);
 			return;
 		}
 
-		resolve(createFailure(error, progress));
+		void resets.then(reset => {
+			if (reset) {
+				resolve(createFailure(reset, progress));
+			} else {
+				resolveWith(body);
+			}
+		});
+	});
+}
+
+/**
+ * Tells whether a connection that ended was reset. A reset that follows the last bytes at once is reported
+ * as an orderly end, but a write to the connection then fails. An empty line after a complete request means
+ * nothing to a peer that still reads.
+ */
+async function detectReset(request: ClientRequest): Promise<Error | undefined> {
+	const {socket} = request;
+	return new Promise(resolve => {
+		if (socket === null) {
+			resolve(undefined);
+			return;
+		}
+
+		socket.prependOnceListener('end', () => {
+			if (!request.writableFinished) {
+				resolve(undefined);
+				return;
+			}
+
+			socket.write('\r\n', error => {
+				resolve(error ?? undefined);
+			});
+		});
+		socket.once('close', () => {
+			resolve(undefined);
+		});
+	});
+}
+
+/** Ends a streamed body with an error if its connection was reset. */
+function endUnlessReset(body: Readable, resets: Promise<Error | undefined>): Readable {
+	const checked = new Transform({
+		transform(chunk, _encoding, done) {
+			done(undefined, chunk);
+		},
+		flush(done) {
+			void resets.then(reset => {
+				done(reset);
+			});
+		},
 	});
+	pipeline(body, checked, () => undefined);
+	return checked;
 }
 
 /** Closes the connection, as the peer would read a later request as the rest of this body. */
--- a/test/http/exchange.test.ts
+++ b/test/http/exchange.test.ts
@@ -68,6 +68,15 @@
 		},
 		kind: exchangeKinds.lost,
 	},
+	{
+		name: 'a close-delimited response whose connection is reset at once is lost',
+		respond(socket) {
+			socket.write(`${head}\r\npart of`, () => {
+				socket.resetAndDestroy();
+			});
+		},
+		kind: exchangeKinds.lost,
+	},
 	{
 		name: 'a response shorter than its content length is lost',
 		respond: socket => socket.end(`${head}Content-Length: 20\r\n\r\npart of`),
@@ -202,3 +211,31 @@
 		expect(end).toEqual('truncated');
 	});
 }
+
+test('a large close-delimited body whose connection is reset ends as truncated, another as complete', async () => {
+	const ends: string[] = [];
+	for (const isReset of [true, false]) {
+		const server = await listen(socket => {
+			socket.write(`${head}Connection: close\r\n\r\n${'b'.repeat(150_000)}`, () => {
+				if (isReset) {
+					socket.resetAndDestroy();
+				} else {
+					socket.end();
+				}
+			});
+		});
+		const agent = new Agent({keepAlive: true});
+		const result = await send(server, agent);
+		assert.ok(result.kind === exchangeKinds.answered && !isBuffered(result.body));
+		ends.push(
+			await finished(result.body.resume()).then(
+				() => 'complete',
+				() => 'truncated',
+			),
+		);
+		agent.destroy();
+		server.close();
+	}
+
+	expect(ends).toEqual(['truncated', 'complete']);
+});
