Ask the announcer of the newest version, also while an earlier one is being fetched

Cause: several changes came within 0.1 s. A node that was still fetching one version kept asking its announcer after a newer one was announced, and dropped the name of the new announcer. If the few nodes that heard of the newest version from another region were all busy so, nobody in the region ever asked beyond it.

Why it works: the announcer asked is that of the newest version.

--- a/src/relay/peer-routes.ts
+++ b/src/relay/peer-routes.ts
@@ -46,6 +46,8 @@
 	const {ask = askForRoutes, sleep = sleepFor} = options;
 	const state = {isClosed: false};
 	let isCatchingUp = false;
+	/** The node that told of the newest version. */
+	let announcer: string | undefined;
 
 	function isBehind(): boolean {
 		const announced = membership.versionOf(routesTopic) ?? 0;
@@ -56,7 +58,7 @@
 	 * Asks the next peer as soon as one says that it lacks the routes too, or does not answer for a short
 	 * time. All those asked may still answer; the first that has the routes ends the round.
 	 */
-	async function fetchFromPeers(announcer: string | undefined, round: number) {
+	async function fetchFromPeers(round: number) {
 		const members = choosePeers(membership, {announcer, round, random});
 		const controller = new AbortController();
 		const answers: Array<Promise<void>> = [];
@@ -97,7 +99,7 @@
 		}
 	}
 
-	async function catchUp(announcer?: string): Promise<void> {
+	async function catchUp(): Promise<void> {
 		if (isCatchingUp) {
 			return;
 		}
@@ -106,7 +108,7 @@
 		await sleep(maximumJitterMilliseconds * random());
 		for (let round = 1; isBehind() && !state.isClosed; round += 1) {
 			const pause = sleep(minimumRoundMilliseconds * (0.5 + random()));
-			await fetchFromPeers(announcer, round);
+			await fetchFromPeers(round);
 			if (isBehind()) {
 				log.info('routes still lacking', {
 					version: holder.current()?.table.version,
@@ -121,14 +123,15 @@
 		isCatchingUp = false;
 	}
 
-	membership.onVersion((topic, version, announcer) => {
+	membership.onVersion((topic, version, from) => {
 		if (topic === routesTopic && isBehind()) {
+			announcer = from;
 			log.info('newer routes announced', {
 				version,
 				announcer,
 				before: holder.current()?.table.version,
 			});
-			void catchUp(announcer);
+			void catchUp();
 		}
 	});
 	// A version that arrived while this node joined was announced before anyone listened.
--- a/test/relay/routes-spread.test.ts
+++ b/test/relay/routes-spread.test.ts
@@ -25,6 +25,22 @@
 	expect(slowest.filter(delay => delay > spreadMilliseconds)).toEqual([]);
 });
 
+test('a region none of whose nodes the table serves gets the last of several changes in quick succession', async () => {
+	const slowest: number[] = [];
+	for (const seed of seeds) {
+		const {delays} = await simulateSpread({
+			...mesh,
+			seed,
+			isServed: ({nodeId}) => nodeId === 'node-1',
+			pauses: [50, 90],
+			bound: configurationMilliseconds,
+		});
+		slowest.push(Math.max(...delays));
+	}
+
+	expect(slowest.filter(delay => delay > spreadMilliseconds)).toEqual([]);
+});
+
 test('a change reaches a region whose own nodes and announcers cannot pass it on', async () => {
 	for (const seed of seeds) {
 		const {delays} = await simulateSpread({
--- a/test/relay/routes.test.ts
+++ b/test/relay/routes.test.ts
@@ -249,6 +249,48 @@
 	expect(holder.current()?.table.version).toEqual(3);
 });
 
+test('a region that is still fetching a version asks the announcer of a newer one, which none of its nodes has', async () => {
+	const holder = createHolder();
+	const near = ['one', 'two'].map(name => createMember(name, 'near'));
+	const sibling = ['three', 'four', 'five', 'six'].map(name => createMember(name, 'far'));
+	const remote = ['seven', 'eight'].map(name => ({
+		...createMember(name, 'distant'),
+		region: 'inland',
+	}));
+	const members = [...near, ...sibling, ...remote];
+	const first = createPeersView(members, 3);
+	const second = createPeersView(members, 4);
+	const asked: string[] = [];
+	const follower = followPeerRoutes({
+		holder,
+		membership: {
+			...first.membership,
+			versionOf: topic =>
+				Math.max(...[first, second].map(view => view.membership.versionOf(topic) ?? 0)),
+			onVersion(listener) {
+				first.membership.onVersion(listener);
+				second.membership.onVersion(listener);
+			},
+		},
+		log: silentLog,
+		random: () => 0,
+		async ask({nodeId}) {
+			asked.push(nodeId);
+			// Told of while the first round of questions for the earlier version is under way.
+			if (asked.length === 1) {
+				second.announce('eight');
+			}
+
+			return nodeId === 'eight' ? '4' : undefined;
+		},
+	});
+	first.announce('three');
+	await waitUntil(() => holder.current() !== undefined);
+	follower.close();
+	expect(holder.current()?.table.version).toEqual(4);
+	expect(asked.slice(-1)).toEqual(['eight']);
+});
+
 test('a node asks the next peer at once when one lacks the version, and takes it from whichever has it first', async () => {
 	const holder = createHolder();
 	const members = ['one', 'two', 'three'].map(name => createMember(name, 'near'));
--- a/test/relay/simulated-routes.ts
+++ b/test/relay/simulated-routes.ts
@@ -23,7 +23,6 @@
 const waitMilliseconds = 400;
 const silenceMilliseconds = 700;
 const firstVersion = 1;
-export const changedVersion = 2;
 
 export type SpreadOptions = {
 	readonly seed: number;
@@ -34,14 +33,16 @@
 	readonly isServed: (member: Member) => boolean;
 	/** Whether a node neither answers other nodes in time nor passes anything on. */
 	readonly isSilent?: (member: Member) => boolean;
+	/** Pauses between further changes that the served nodes get, in milliseconds; none by default. */
+	readonly pauses?: readonly number[];
 	/** Time after which the simulation ends at the latest, in milliseconds. */
 	readonly bound: number;
 };
 
 export type Spread = {
-	/** Milliseconds after the change at which each node had it; infinite if it did not in time. */
+	/** Milliseconds after the last change at which each node had it; infinite if it did not in time. */
 	readonly delays: number[];
-	/** Questions to nodes that did not have the changed version. */
+	/** Questions to nodes that had no newer version. */
 	readonly vainQuestions: number;
 };
 
@@ -61,14 +62,17 @@
 	});
 	const clock = createVirtualClock(mesh);
 	const delays = mesh.nodes.map(() => Number.POSITIVE_INFINITY);
-	const changedAt = mesh.now;
+	const {pauses = []} = options;
+	const lastVersion = firstVersion + 1 + pauses.length;
+	const changes = listChanges(mesh.now, pauses);
+	const changedAt = changes.at(-1)!.at;
 	const count = {vain: 0};
 	const members = new Map<string, SimulatedNode>();
 	const listeners = mesh.nodes.map((node, index) => {
 		const holder = createVersionHolder(version => {
 			mesh.send(node, {kind: 'publishVersion', topic: routesTopic, version});
 			awaited.notify();
-			if (version === changedVersion) {
+			if (version === lastVersion) {
 				delays[index] = mesh.now - changedAt;
 			}
 		});
@@ -123,11 +127,9 @@
 			announce(routesTopic, version, from);
 		};
 	});
-	for (const {node, holder} of listeners) {
+	const served = listeners.filter(({node}) => options.isServed(node.state.self.member));
+	for (const {node} of listeners) {
 		node.effects.length = 0;
-		if (options.isServed(node.state.self.member)) {
-			holder.activate(String(changedVersion), 'table');
-		}
 	}
 
 	const isPending = () =>
@@ -135,6 +137,12 @@
 			({node}, index) => !isSilent(node) && delays[index] === Number.POSITIVE_INFINITY,
 		);
 	while (isPending() && mesh.now - changedAt < options.bound) {
+		for (const {version} of changes.filter(({at}) => at === mesh.now)) {
+			for (const {holder} of served) {
+				holder.activate(String(version), 'table');
+			}
+		}
+
 		mesh.run(1);
 		for (const [index, {node}] of listeners.entries()) {
 			for (const effect of node.effects.splice(0)) {
@@ -151,6 +159,18 @@
 	return {delays, vainQuestions: count.vain};
 }
 
+/** Lists the versions from the second one on, with the times at which the served nodes get them. */
+function listChanges(startsAt: number, pauses: readonly number[]) {
+	let at = startsAt;
+	const changes = [{version: firstVersion + 1, at}];
+	for (const [index, pause] of pauses.entries()) {
+		at += pause;
+		changes.push({version: firstVersion + 2 + index, at});
+	}
+
+	return changes;
+}
+
 type SimulatedNode = {
 	readonly node: MeshNode;
 	readonly holder: RoutesHolder;
