Ask other nodes for a proof only where keys have a time limit; split the components

Seen by callers: nothing. In meshes without keys each node asked others for a proof a few times a second while the store was away, though nothing there depends on it.

The part of a link and the budget of datagrams move to modules of their own.

--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -7,18 +7,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {formatIngress} from '../call/index.js';
 import type {EventLog} from '../log/index.js';
-import {
-	createMeasuringBudget,
-	trySpend,
-	type MeasuringBudget,
-	type MeasuringUse,
-} from '../measuring/index.js';
-import {
-	isIsolated,
-	isPoller,
-	memberStatuses,
-	type Membership,
-} from '../membership/index.js';
+import {createMeasuringBudget} from '../measuring/index.js';
+import {isIsolated, isPoller, type Membership} from '../membership/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {AnnouncementHandler, PlatformAdapter} from './adapter.js';
 import {createAwaitedRoutes} from './awaited-routes.js';
@@ -29,6 +19,8 @@
 import type {RelayGate} from './gate-types.js';
 import {createNodeAllowances} from './node-allowances.js';
 import {openGateSocket, type GateSocket} from './gate-socket.js';
+import {findLinkPart} from './link-part.js';
+import {createDatagramBudget} from './datagram-budget.js';
 import {createRelayMetrics, type RelayMetrics} from './metrics.js';
 import {createRelayPeerListener} from './peer-listener.js';
 import {createPeerClient} from './peer-client.js';
@@ -47,8 +39,6 @@
 import {createSteadyTime} from './steady-time.js';
 import {createTableEra} from './table-era.js';
 
-/** Upper bound of the time to encode or decode one datagram. */
-const datagramMicroseconds = 20;
 /** A started node does not poll before it has learned of the others, or all started nodes would poll. */
 const pollerDelayMilliseconds = 2000;
 const responseBytesWeight = 0.1;
@@ -142,7 +132,7 @@
 					location,
 					costs: settings.costs,
 					roundTrips,
-					linkMegabits: () => findLinkPart(settings, membership),
+					linkMegabits: () => findLinkPart(settings, membership?.all() ?? []),
 					now,
 					random: Math.random,
 				})
@@ -376,7 +366,7 @@
 				cancelAttempt: gate.cancelAttempt,
 				grantAllowance: allowances.grant,
 				incarnation,
-				trySpend: (use, bytes) => spendBudget(budget, metrics, use, bytes),
+				trySpend: createDatagramBudget({budget, onSpend: metrics.recordMeasuring, now}),
 				onError(error) {
 					log.warn('datagram not sent', {reason: error.message});
 				},
@@ -404,32 +394,3 @@
 		},
 	};
 }
-
-/** This node's part of the link between two regions, in megabits per second. */
-function findLinkPart(
-	{costs, node}: RelaySettings,
-	membership: Membership | undefined,
-): number | undefined {
-	if (costs.linkMegabitsBetweenRegions === undefined) {
-		return undefined;
-	}
-
-	const nodes = membership
-		?.all()
-		.filter(
-			({region, status}) => region === node.region && status === memberStatuses.alive,
-		);
-	return costs.linkMegabitsBetweenRegions / Math.max(1, nodes?.length ?? 1);
-}
-
-function spendBudget(
-	budget: MeasuringBudget,
-	metrics: RelayMetrics,
-	use: MeasuringUse,
-	bytes: number,
-): boolean {
-	const cost = {bytes, processorMicroseconds: datagramMicroseconds};
-	const isGranted = trySpend(budget, use, cost, now());
-	metrics.recordMeasuring(isGranted ? use : 'refused', bytes);
-	return isGranted;
-}
--- a/src/relay/proof-keeper.ts
+++ b/src/relay/proof-keeper.ts
@@ -118,8 +118,12 @@
 	const hasRoutes = (): boolean => holder.current() !== undefined;
 	const activeVersion = (): number => holder.current()?.table.version ?? 0;
 
+	/** Whether the age of the proof decides anything besides who asks the table next. */
+	const isKeyLimited = (): boolean =>
+		revocationMilliseconds !== undefined && (holder.current()?.teams.isRequired ?? false);
+
 	function checkRecent(now: number): boolean {
-		if (revocationMilliseconds === undefined || !holder.current()?.teams.isRequired) {
+		if (revocationMilliseconds === undefined || !isKeyLimited()) {
 			return true;
 		}
 
@@ -278,12 +282,14 @@
 				failedAt,
 				answeredAt,
 			}),
-			peerAt: nextPeerQuestionAt({
-				...shared,
-				newestAt,
-				needsBound: lacksBound(proven),
-				askedAt: peerAskedAt,
-			}),
+			peerAt: isKeyLimited()
+				? nextPeerQuestionAt({
+						...shared,
+						newestAt,
+						needsBound: lacksBound(proven),
+						askedAt: peerAskedAt,
+					})
+				: Number.POSITIVE_INFINITY,
 		};
 	}
 
