Prove the age of routes less often where no keys depend on it

Without keys only the last moment matters at which some node asks when the pollers are refused, 0.44 of the limit, and it stays. The node with the newest proof asks at 0.22 of the limit instead of 0.15.

--- a/src/proven-age/asking.ts
+++ b/src/proven-age/asking.ts
@@ -19,18 +19,26 @@
 
 export type ProofRole = (typeof proofRoles)[keyof typeof proofRoles];
 
+type AskShares = Readonly<
+	Record<ProofRole, {readonly from: number; readonly spread: number}>
+>;
+
 /**
  * Age of the proof at which a node asks, and the time over which the nodes of a role spread, as shares
- * of the time limit for withdrawn keys. A node that loses touch has to have a proof that lasts for
+ * of the limit. Where keys have a time limit, a node that loses touch has to have a proof that lasts for
  * 0.6 of the limit from then on.
  */
-const askShares: Readonly<
-	Record<ProofRole, {readonly from: number; readonly spread: number}>
-> = {
+const keyedAskShares: AskShares = {
 	last: {from: 0.15, spread: 0},
 	poller: {from: 0.25, spread: 0.05},
 	other: {from: 0.32, spread: 0.12},
 };
+/** Elsewhere only the last moment matters at which some node asks, and each proof costs bytes. */
+const plainAskShares: AskShares = {
+	last: {from: 0.22, spread: 0},
+	poller: {from: 0.32, spread: 0.04},
+	other: {from: 0.36, spread: 0.08},
+};
 /** Pause after a failed question; doubled with each further one. */
 const failurePauses: Readonly<
 	Record<ProofRole, {readonly first: number; readonly longest: number}>
@@ -50,6 +58,8 @@
 	/** Time after which a key that was taken away must not be accepted, in milliseconds. */
 	readonly limitMilliseconds: number;
 	readonly role: ProofRole;
+	/** Whether the age of the proof decides if keys are accepted. */
+	readonly isKeyLimited: boolean;
 	/**
 	 * Local time in milliseconds at which the routes of this node were last provably the newest. Proofs of
 	 * routes that it lacks do not count: its own only grow older.
@@ -76,8 +86,8 @@
 export function nextTableQuestionAt(state: AskingState): number {
 	const {role, limitMilliseconds, provenAt, askedAt, failures, failedAt, answeredAt} =
 		state;
-	const {jitter} = state;
-	const {from, spread} = askShares[role];
+	const {jitter, isKeyLimited} = state;
+	const {from, spread} = (isKeyLimited ? keyedAskShares : plainAskShares)[role];
 	const age = (from + spread * jitter) * limitMilliseconds;
 	// An answer without a proof for these routes, as of a restored table, must not be asked for at once again.
 	const agedAt = Math.max(provenAt ?? Number.NEGATIVE_INFINITY, askedAt) + age;
--- a/src/relay/proof-keeper.ts
+++ b/src/relay/proof-keeper.ts
@@ -277,6 +277,7 @@
 			tableAt: nextTableQuestionAt({
 				...shared,
 				role: chooseRole(),
+				isKeyLimited: isKeyLimited(),
 				provenAt: provenAtLocally(proven, activeVersion()),
 				askedAt: tableAskedAt,
 				failedAt,
--- a/test/relay/proof-keeper.test.ts
+++ b/test/relay/proof-keeper.test.ts
@@ -10,6 +10,7 @@
 
 const base = {
 	limitMilliseconds: 5000,
+	isKeyLimited: true,
 	provenAt: 10_000,
 	askedAt: Number.NEGATIVE_INFINITY,
 	failures: 0,
@@ -25,6 +26,17 @@
 	expect(dueAt.map(at => Math.round(at - base.provenAt))).toEqual([750, 1375, 1900]);
 });
 
+test('without keys nodes ask later, and no later at the latest', () => {
+	const listDue = (jitter: number) =>
+		Object.values(proofRoles).map(role =>
+			Math.round(
+				nextTableQuestionAt({...base, role, jitter, isKeyLimited: false}) - base.provenAt,
+			),
+		);
+	expect(listDue(0)).toEqual([1100, 1600, 1800]);
+	expect(listDue(1)).toEqual([1100, 1800, 2200]);
+});
+
 test('failed questions pause longer each time, and longest at nodes that do not poll', () => {
 	const pauses = [1, 2, 3, 9].map(failures => {
 		const failed = {...base, provenAt: 0, failures, failedAt: 20_000};
