Let a large document of routes arrive however long it takes, and from one peer at a time

Why it works: a question ends after 0.7 s of silence, not of transfer, and the first peer that begins to send is the only one to do so: no other is asked, and those that wait are left.

--- a/src/relay/peer-routes-question.ts
+++ b/src/relay/peer-routes-question.ts
@@ -13,6 +13,8 @@
 	readonly newerThan: number;
 	/** Called when the node lacks them, and will answer once it has them. */
 	readonly onWaiting: () => void;
+	/** Called when the node begins to send them. */
+	readonly onReceiving: () => void;
 	/** Ends the question. */
 	readonly signal: AbortSignal;
 };
@@ -26,7 +28,8 @@
 const processingStatus = 102;
 const maximumRoutesBytes = 4_194_304;
 const waitMilliseconds = 400;
-const timeoutMilliseconds = 700;
+/** Longest silence of the node; a large document takes longer over a narrow link. */
+const silenceMilliseconds = 700;
 
 /** Asks a node over HTTP. */
 export const askForRoutes: AskForRoutes = async ({host, peerPort}, question) =>
@@ -40,10 +43,11 @@
 				[waitHeader]: String(waitMilliseconds),
 			},
 			agent: false,
-			signal: AbortSignal.any([
-				question.signal,
-				AbortSignal.timeout(timeoutMilliseconds),
-			]),
+			signal: question.signal,
+			timeout: silenceMilliseconds,
+		});
+		request.on('timeout', () => {
+			request.destroy(new Error('the node fell silent'));
 		});
 		request.on('information', ({statusCode}) => {
 			if (statusCode === processingStatus) {
@@ -57,6 +61,7 @@
 				return;
 			}
 
+			question.onReceiving();
 			collectBody(response, maximumRoutesBytes, whole => {
 				resolve(whole && Buffer.from(whole).toString('utf8'));
 			});
--- a/src/relay/peer-routes.ts
+++ b/src/relay/peer-routes.ts
@@ -6,7 +6,11 @@
 import type {Logger} from '../log/index.js';
 import {memberStatuses, type Member, type Membership} from '../membership/index.js';
 import type {RoutesHolder} from './active-routes.js';
-import {askForRoutes, type AskForRoutes} from './peer-routes-question.js';
+import {
+	askForRoutes,
+	type AskForRoutes,
+	type RoutesQuestion,
+} from './peer-routes-question.js';
 
 export type PeerRoutesOptions = {
 	readonly holder: RoutesHolder;
@@ -56,45 +60,60 @@
 
 	/**
 	 * Asks the next peer as soon as one says that it lacks the routes too, or does not answer for a short
-	 * time. All those asked may still answer; the first that has the routes ends the round.
+	 * time. All those asked may still answer; the first that begins to send the routes is the only one to do so,
+	 * since the document may be large and the link narrow.
 	 */
-	async function fetchFromPeers(round: number) {
+	async function fetchFromPeers(round: number): Promise<void> {
 		const members = choosePeers(membership, {announcer, round, random});
-		const controller = new AbortController();
+		const controllers = members.map(() => new AbortController());
 		const answers: Array<Promise<void>> = [];
 		const isComplete = createSignal();
-		for (const member of members) {
-			const isWaiting = createSignal();
-			const answer = activateFrom(member, controller.signal, isWaiting.raise);
+		const state = {isReceiving: false};
+		for (const [index, member] of members.entries()) {
+			const isUnderWay = createSignal();
+			const answer = activateFrom(member, {
+				signal: controllers[index]!.signal,
+				onWaiting: isUnderWay.raise,
+				onReceiving() {
+					state.isReceiving = true;
+					isUnderWay.raise();
+					for (const other of controllers) {
+						if (other !== controllers[index]) {
+							other.abort();
+						}
+					}
+				},
+			});
 			answers.push(answer);
 			void answer.then(() => {
 				if (!isBehind()) {
 					isComplete.raise();
 				}
 			});
-			await Promise.race([answer, isWaiting.raised, sleep(nextPeerMilliseconds)]);
-			if (!isBehind()) {
+			await Promise.race([answer, isUnderWay.raised, sleep(nextPeerMilliseconds)]);
+			if (!isBehind() || state.isReceiving) {
 				break;
 			}
 		}
 
 		await Promise.race([isComplete.raised, Promise.all(answers)]);
-		controller.abort();
+		for (const controller of controllers) {
+			controller.abort();
+		}
 	}
 
 	async function activateFrom(
 		member: Member,
-		signal: AbortSignal,
-		onWaiting: () => void,
+		question: Omit<RoutesQuestion, 'newerThan'>,
 	): Promise<void> {
 		const newerThan = holder.current()?.table.version ?? 0;
-		const text = await ask(member, {newerThan, onWaiting, signal});
+		const text = await ask(member, {...question, newerThan});
 		if (text !== undefined) {
 			holder.activate(text, member.nodeId);
 			return;
 		}
 
-		if (!signal.aborted) {
+		if (!question.signal.aborted) {
 			log.info('peer gave no routes', {peer: member.nodeId});
 		}
 	}
--- a/test/relay/routes.test.ts
+++ b/test/relay/routes.test.ts
@@ -320,6 +320,39 @@
 	]);
 });
 
+test('once a peer begins to send the routes, no other is asked, and those that wait are left', async () => {
+	const holder = createHolder();
+	const members = ['one', 'two', 'three', 'four'].map(name => createMember(name, 'far'));
+	const {membership, announce} = createPeersView(members, 3);
+	const asked: string[] = [];
+	const left: string[] = [];
+	const follower = followPeerRoutes({
+		holder,
+		membership,
+		log: silentLog,
+		random: () => 0,
+		async ask({nodeId}, {onWaiting, onReceiving, signal}) {
+			asked.push(nodeId);
+			signal.addEventListener('abort', () => left.push(nodeId));
+			if (nodeId !== 'two') {
+				onWaiting();
+				await sleep(60_000, undefined, {ref: false});
+				return undefined;
+			}
+
+			onReceiving();
+			await sleep(400);
+			expect(left).toEqual(['one']);
+			return '3';
+		},
+	});
+	announce('one');
+	await waitUntil(() => holder.current() !== undefined);
+	follower.close();
+	expect(holder.current()?.table.version).toEqual(3);
+	expect(asked).toEqual(['one', 'two']);
+});
+
 test('a peer that does not answer holds up the routes only shortly', async () => {
 	const holder = createHolder();
 	const members = [createMember('silent', 'near'), createMember('announcer', 'far')];
