--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -20,6 +20,17 @@
 const invalidDocuments: ReadonlyArray<readonly [string, string]> = [
 	['text that is not JSON', '{'],
 	['a version that is not a number', JSON.stringify({version: 'latest', hosts: []})],
+	[
+		'a version beyond what can be counted',
+		JSON.stringify({
+			...(createConfiguration(1) as Record<string, unknown>),
+			version: `r${'9'.repeat(400)}`,
+		}),
+	],
+	[
+		'a document that is nested deeply',
+		`{"version":"r1","hosts":${'['.repeat(300_000)}${']'.repeat(300_000)}}`,
+	],
 	['a `hosts` field of another type', JSON.stringify({version: 'r3', hosts: 'none'})],
 ];
 for (const [name, text] of invalidDocuments) {
