--- a/review/support/mesh.js
+++ b/review/support/mesh.js
@@ -301,7 +301,7 @@
 		});
 		const control = {host: ip, port: ports.control};
 		const {life} = startNode(current, node, file);
-		started.push({name: node, ip, control, server, life});
+		started.push({name: node, ip, file, control, server, life});
 		current.closers.push(server.close);
 	}
 
--- a/review/support/server.js
+++ b/review/support/server.js
@@ -23,17 +23,14 @@
 	const slots = options.slots ?? 9;
 	const workMilliseconds = options.workMilliseconds ?? 120;
 	const runs = [];
-	const acknowledged = [];
 	const state = {
 		id: options.id,
 		born: options.born ?? Date.now(),
 		sequence: 0,
 		running: 0,
 		queue: [],
-		isLeaving: false,
 		timer: undefined,
 		spoil: undefined,
-		spoilHealth: undefined,
 	};
 
 	function describeLoad() {
@@ -42,11 +39,7 @@
 
 	function handle(request, response) {
 		if (request.url === '/health') {
-			if (state.spoilHealth?.(response)) {
-				return;
-			}
-
-			response.writeHead(state.isLeaving ? 503 : 200, {
+			response.writeHead(200, {
 				'x-instance-id': state.id,
 				'x-instance-load': describeLoad(),
 				'content-length': '0',
@@ -57,9 +50,15 @@
 
 		const {headers} = request;
 		const id = headers['x-request-id'];
+		const echo = id === undefined ? {} : {'x-request-id': id};
 		const target = headers['x-target-instance'];
 		if (target !== undefined && target !== state.id) {
-			response.writeHead(421, {'x-instance-id': state.id, 'content-length': '0'});
+			request.resume();
+			response.writeHead(421, {
+				'x-instance-id': state.id,
+				'content-length': '0',
+				...echo,
+			});
 			response.end();
 			return;
 		}
@@ -68,8 +67,8 @@
 			request.resume();
 			response.writeHead(id === undefined ? 400 : 503, {
 				'x-not-executed': '1',
-				...(id === undefined ? {} : {'x-request-id': id}),
 				'content-length': '0',
+				...echo,
 			});
 			response.end();
 			return;
@@ -136,10 +135,10 @@
 		startNext();
 	}
 
-	async function post(path, body, address = control) {
+	async function post(path, body) {
 		return new Promise(resolve => {
 			const request = sendRequest(
-				{...address, method: 'POST', path, agent: false},
+				{...control, method: 'POST', path, agent: false},
 				response => {
 					response.resume();
 					resolve(response.statusCode);
@@ -152,20 +151,20 @@
 		});
 	}
 
-	/** Sends a ping to the node, or to a proxy on the way there; resolves with the status. */
-	async function beat(address) {
+	/** Sends a ping to the node; resolves with the status. */
+	async function beat() {
 		state.sequence += 1;
 		const ping = {
 			addr: `${host}:${port}`,
 			born: state.born,
 			info: {service, version: 'v1', zone, capacity: slots},
 			status: {
-				state: state.isLeaving ? 'draining' : 'ready',
+				state: 'ready',
 				sequence: state.sequence,
 				'warmup-ms': 0,
 			},
 		};
-		return post(`/Instances.Heartbeat/${state.id}`, ping, address);
+		return post(`/Instances.Heartbeat/${state.id}`, ping);
 	}
 
 	let server;
@@ -179,9 +178,7 @@
 
 	return {
 		runs,
-		acknowledged,
 		state,
-		beat,
 		/** Listens and announces the server from now on. */
 		async start() {
 			await listen();
@@ -197,25 +194,11 @@
 		},
 		/** Starts again: a new process, which knows nothing of the one before. */
 		async startAgain({id = state.id, born = Date.now()} = {}) {
-			Object.assign(state, {id, born, sequence: 0, isLeaving: false, queue: []});
+			Object.assign(state, {id, born, sequence: 0, queue: []});
 			await listen();
 			await beat();
 			state.timer = setInterval(() => void beat(), heartbeatMilliseconds);
 		},
-		/** Says that the server leaves; resolves with the time of the acknowledgement, or undefined. */
-		async drain() {
-			state.isLeaving = true;
-			const status = await beat();
-			return status >= 200 && status < 300 ? Date.now() : undefined;
-		},
-		/** Deregisters; resolves with the time of the acknowledgement, or undefined. */
-		async deregister() {
-			state.isLeaving = true;
-			clearInterval(state.timer);
-			const {born} = state;
-			const status = await post(`/Instances.Deregister/${state.id}`, {born});
-			return status >= 200 && status < 300 ? Date.now() : undefined;
-		},
 		close() {
 			clearInterval(state.timer);
 			server?.closeAllConnections();
