--- a/review/support/mesh.js
+++ b/review/support/mesh.js
@@ -2,7 +2,7 @@
 /**
  * Starts nodes as the deploy file does, on loopback addresses of their own, each beside a stand-in
  * server, and a stand-in store. The settings are the template of the deploy file, filled with values
- * of an installation.
+ * of the installation `kopijwacht-be-grown`.
  */
 import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
@@ -23,33 +23,18 @@
 const readyTimeoutMilliseconds = 30_000;
 const restartDelayMilliseconds = 300;
 
-/** Bounds and link of two installations. */
-export const cdhaMesh = {
-	link: 1000,
-	bounds: {
-		'contact-ms': 3000,
-		'ack-ms': 4000,
-		'drain-ms': 2000,
-		'grace-s': 6,
-		'config-ms': 2000,
-		'budget-ratio': 0.2,
-		'budget-window-s': 10,
-		'budget-slack': 58,
-	},
-};
-export const kopijwacht = {
-	link: 140,
-	bounds: {
-		'contact-ms': 4000,
-		'ack-ms': 6000,
-		'drain-ms': 3000,
-		'grace-s': 6,
-		'config-ms': 3000,
-		'budget-ratio': 0.2,
-		'budget-window-s': 10,
-		'budget-slack': 210,
-	},
+/** Bounds of the installation `kopijwacht-be-grown`, and the widest link of its machines. */
+export const bounds = {
+	'contact-ms': 4000,
+	'ack-ms': 6000,
+	'drain-ms': 3000,
+	'grace-s': 6,
+	'config-ms': 3000,
+	'budget-ratio': 0.2,
+	'budget-window-s': 10,
+	'budget-slack': 210,
 };
+const linkMegabits = 140;
 
 /** Ports are the same on all machines of a day; the addresses differ. */
 const ports = {
@@ -249,13 +234,10 @@
  * Starts a mesh and waits until all nodes are ready and know all servers.
  *
  * @param current the case
- * @param options machines (`{zone, region, service}`), config, options of the servers, and the site
+ * @param options machines (`{zone, region, service}`), config, and options of the servers
  * @returns the store and the machines
  */
-export async function startMesh(
-	current,
-	{machines, config, servers = {}, site = cdhaMesh},
-) {
+export async function startMesh(current, {machines, config, servers = {}}) {
 	const store = createStandInStore();
 	store.putConfiguration(config);
 	const storeHost = chooseAddress(200);
@@ -282,9 +264,9 @@
 				ready: `${ip}:${ports.ready}`,
 				control: `${ip}:${ports.control}`,
 			},
-			limits: {'link-mbps': site.link},
+			limits: {'link-mbps': linkMegabits},
 			platform: {addr: `${storeHost}:${ports.store}`},
-			bounds: site.bounds,
+			bounds,
 		};
 		const file = path.join(current.folder, `${node}.yaml`);
 		writeFileSync(file, render(template, fields));
--- a/review/support/server.js
+++ b/review/support/server.js
@@ -20,8 +20,8 @@
  */
 export function createServerStandIn(options) {
 	const {host, port, control, service, zone, record} = options;
-	const slots = options.slots ?? 9;
-	const workMilliseconds = options.workMilliseconds ?? 120;
+	const slots = options.slots ?? 4;
+	const workMilliseconds = options.workMilliseconds ?? 133;
 	const runs = [];
 	const state = {
 		id: options.id,
