--- a/review/2/run.js
+++ b/review/2/run.js
@@ -1,6 +1,6 @@
 /* eslint-disable no-await-in-loop -- clients and servers act one step after the other */
 /**
- * One server spoils the status line of a few answers. Clients on kept connections send requests to
+ * One server of two spoils the status line of a few answers. Clients on kept connections send requests to
  * all machines. The rule is broken if, of the requests that ran at sound servers, more than three
  * ended at one machine with a closed connection and no answer.
  */
@@ -9,36 +9,55 @@
 import {createConfig, isTroubled, runCase, send, startMesh} from '../support/mesh.js';
 
 const zones = [
-	{zone: 'yvr-a', region: 'lower-mainland'},
-	{zone: 'yyj-a', region: 'island'},
+	{zone: 'flanders-ghent', region: 'flanders'},
+	{zone: 'wallonia-namur', region: 'wallonia'},
 ];
-const services = ['booking-svc', 'avail-svc', 'avail-svc'];
-const clientsPerMachine = 12;
-const pauseMilliseconds = 100;
-const playMilliseconds = 30_000;
+const services = ['check-engine', 'results-portal', 'results-portal', 'results-portal'];
+const workMilliseconds = {'/fingerprint/1': 38, '/match/1': 133, '/check/1': 171};
+const clientsPerMachine = 10;
+const pauseMilliseconds = 300;
+const playMilliseconds = 34_000;
 /** Of the answers of the faulty server, one in so many is spoiled: 0.03. */
 const answersPerSpoiledOne = 34;
-/** The server is faulty for 5.5 s at a time. */
-const faultyMilliseconds = 5500;
-const faultyFrom = [3000, 15_000];
+/** The server is faulty for 5 s at a time. */
+const faultyMilliseconds = 5000;
+const faultyFrom = [4000, 14_000, 24_000];
 const allowedLosses = 3;
-const bookingEvery = 4;
+/** What a client sends in turn. */
+const turns = [
+	{route: '/check/1', method: 'POST'},
+	...Array.from({length: 6}, () => ({route: '/match/1', method: 'GET'})),
+	...Array.from({length: 3}, () => ({route: '/fingerprint/1', method: 'GET'})),
+];
 
 await runCase(import.meta.dirname, async current => {
 	const {machines} = await startMesh(current, {
 		machines: services.flatMap(service => zones.map(zone => ({...zone, service}))),
+		servers: {work: ({url}) => workMilliseconds[url]},
 		config: createConfig(1, [
 			{
-				name: 'bay-avail',
-				prefix: '/avail/',
+				name: 'match-lookup',
+				prefix: '/match/',
+				kind: 'idempotent',
+				service: 'results-portal',
+				'target-latency-ms': 847,
+				'timeout-ms': 3175,
+			},
+			{
+				name: 'fingerprint-fetch',
+				prefix: '/fingerprint/',
 				kind: 'idempotent',
-				service: 'avail-svc',
+				service: 'check-engine',
+				'target-latency-ms': 197,
+				'timeout-ms': 656,
 			},
 			{
-				name: 'bay-book',
-				prefix: '/book/',
+				name: 'check-submit',
+				prefix: '/check/',
 				kind: 'non_idempotent',
-				service: 'booking-svc',
+				service: 'check-engine',
+				'target-latency-ms': 1052,
+				'timeout-ms': 4207,
 			},
 		]),
 	});
@@ -72,14 +91,9 @@
 	const play = async (machine, client) => {
 		const agent = new Agent({keepAlive: true, maxSockets: 1});
 		for (let count = 0; Date.now() < startedAt + playMilliseconds; count += 1) {
-			const isBooking = count % bookingEvery === 0;
+			const {route, method} = turns[(count + client) % turns.length];
 			const id = `${machine.name}-${client}-${count}-x`;
-			const result = await send(machine.ip, {
-				id,
-				agent,
-				route: isBooking ? '/book/1' : '/avail/1',
-				method: isBooking ? 'POST' : 'GET',
-			});
+			const result = await send(machine.ip, {id, agent, route, method, deadline: 3000});
 			results.push({...result, machine: machine.name});
 			await sleep(pauseMilliseconds);
 		}
