--- a/src/http/message-head.ts
+++ b/src/http/message-head.ts
@@ -20,7 +20,7 @@
 
 const firstFinalStatus = 200;
 const lastFinalStatus = 599;
-const tokenPattern = /^[\w!#$%\&'*+\-.^`\|~]+$/v;
+const tokenPattern = /^[\w!#$%\u0026'*+\-.^`\|~]+$/v;
 /** Visible characters and bytes beyond ASCII, with tabs and spaces between them. */
 const valuePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
 const targetPattern = /^[\u0021-\u007E\u0080-\u00FF]+$/v;
