Refuse a request with an invalid path or header name

Callers saw: one request with a tab or a form feed in its path, or with a header name that is empty, holds a space or ends in one, ended the node that took it, and every call in hand with it. Cause: the parser of Node.js accepts such heads, and its client throws when it is given them to send; startExchange runs in handlers and promises that nothing guards. The listener for callers and the one for other nodes passed heads on unchecked, in the relay and in the product's own node. Why this works: the four listeners check the head before anything is done with it, and refuse it at once with 400 and the outcome not-run, which is true since nothing was forwarded. The heads that frame a body cannot be smuggled so: the parser refuses Content-Length and Transfer-Encoding with a space behind the name itself (tried). Also tried without harm: other odd headers, trailers, CONNECT, HTTP/1.0, odd figures of an attempt, bodies of 2 MB in chunks whose sender resets the connection.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,5 +1,7 @@
 /** Public interface of HTTP: client exchanges, server responses and results exchanged by nodes. */
 export {
+	createMalformedHeadRefusal,
+	refuseMalformedHead,
 	refuseNonPeer,
 	writeResponse,
 	writeRefusal,
@@ -24,6 +26,7 @@
 	type RunningExchange,
 } from './exchange.js';
 export {refuseMalformed} from './malformed-request.js';
+export {findRequestHeadFault, isHeaderValue, type RequestHead} from './message-head.js';
 export {
 	connectionStates,
 	createOpenCalls,
--- a/src/http/response.ts
+++ b/src/http/response.ts
@@ -174,6 +174,29 @@
 	writeRefusal(response, refusal, outcomes.unknown);
 }
 
+/**
+ * Refuses a request whose head must not be passed on.
+ *
+ * @param response response to write to
+ * @param fault why, as found by `findRequestHeadFault`
+ */
+export function refuseMalformedHead(response: ServerResponse, fault: string): void {
+	writeRefusal(response, createMalformedHeadRefusal(fault), outcomes.notRun);
+}
+
+/**
+ * Creates the refusal of a request whose head must not be passed on.
+ *
+ * @param fault why, as found by `findRequestHeadFault`
+ * @returns the refusal
+ */
+export function createMalformedHeadRefusal(fault: string): Refusal {
+	return createRefusal(
+		refusalKinds.malformed,
+		`the request is not valid HTTP/1.1: ${fault}; correct its head`,
+	);
+}
+
 /**
  * Refuses a request that was not sent by a node.
  *
--- a/src/node/ingress.ts
+++ b/src/node/ingress.ts
@@ -25,9 +25,11 @@
 } from '../call/index.js';
 import {
 	createOpenCalls,
+	findRequestHeadFault,
 	hasSmallBody,
 	readSmallBody,
 	refuseMalformed,
+	refuseMalformedHead,
 	writeResponse,
 	writeRefusal,
 } from '../http/index.js';
@@ -102,6 +104,16 @@
 			response.shouldKeepAlive = false;
 		}
 
+		const fault = findRequestHeadFault({
+			method: request.method!,
+			path: request.url!,
+			headers: request.rawHeaders,
+		});
+		if (fault !== undefined) {
+			refuseMalformedHead(response, fault);
+			return;
+		}
+
 		if (options.handleNodeRequest(request, response)) {
 			return;
 		}
--- a/src/node/peer-listener.ts
+++ b/src/node/peer-listener.ts
@@ -16,8 +16,10 @@
 	type RunningAttempt,
 } from '../call/index.js';
 import {
+	findRequestHeadFault,
 	hasSmallBody,
 	readSmallBody,
+	refuseMalformedHead,
 	refuseNonPeer,
 	writeAttemptResult,
 } from '../http/index.js';
@@ -64,6 +66,16 @@
 	response: ServerResponse,
 	onDispatch: (() => void) | undefined,
 ): void {
+	const fault = findRequestHeadFault({
+		method: request.method!,
+		path: request.url!,
+		headers: request.rawHeaders,
+	});
+	if (fault !== undefined) {
+		refuseMalformedHead(response, fault);
+		return;
+	}
+
 	if (request.headers[headerNames.keyHome] !== undefined) {
 		handleKeyedCall(options, request, response);
 		return;
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -24,6 +24,8 @@
 } from '../call/index.js';
 import {
 	createCallerConnections,
+	createMalformedHeadRefusal,
+	findRequestHeadFault,
 	refuseMalformed,
 	writeResponse,
 	writeRefusal,
@@ -146,6 +148,16 @@
 		arrivedAt: number,
 	): void {
 		const metadata = protocol.readCallerHeaders(request.rawHeaders);
+		const fault = findRequestHeadFault({
+			method: request.method!,
+			path: request.url!,
+			headers: request.rawHeaders,
+		});
+		if (fault !== undefined) {
+			refuse(response, metadata, createMalformedHeadRefusal(fault));
+			return;
+		}
+
 		const activeRoutes = options.routes();
 		if (activeRoutes === undefined) {
 			const message =
--- a/src/relay/peer-listener.ts
+++ b/src/relay/peer-listener.ts
@@ -9,7 +9,12 @@
 	type ServerResponse,
 } from 'node:http';
 import type {RunningAttempt} from '../call/index.js';
-import {refuseNonPeer, writeAttemptResult} from '../http/index.js';
+import {
+	findRequestHeadFault,
+	refuseMalformedHead,
+	refuseNonPeer,
+	writeAttemptResult,
+} from '../http/index.js';
 import type {InboundLink} from '../waiting/index.js';
 import type {AwaitedRoutes} from './awaited-routes.js';
 import type {RelayAttempt} from './call.js';
@@ -111,13 +116,16 @@
 	response: ServerResponse,
 	options: PeerListenerOptions,
 ): void {
+	const {rawHeaders} = request;
+	const head = {method: request.method!, path: request.url!, rawHeaders};
+	const fault = findRequestHeadFault({...head, headers: rawHeaders});
+	if (fault !== undefined) {
+		refuseMalformedHead(response, fault);
+		return;
+	}
+
 	response.writeProcessing();
 	receiveBody(request, options.inboundLink, body => {
-		const head = {
-			method: request.method!,
-			path: request.url!,
-			rawHeaders: request.rawHeaders,
-		};
 		const attempt = parsePeerAttempt(head, body, options.now());
 		if (attempt === undefined) {
 			refuseNonPeer(response);
--- a/test/process/bad-input.test.ts
+++ b/test/process/bad-input.test.ts
@@ -90,6 +90,19 @@
 		status: 400,
 		refusal: 'malformed',
 	},
+	// Node.js parses such heads and throws when they are passed on: one of them ended the process.
+	...[': a', 'with space: a', 'space-behind : a'].map(line => ({
+		name: `the header "${line}"`,
+		text: `GET / HTTP/1.1\r\n${host}${service}${line}\r\n\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	})),
+	...['/\t', '/?a=\f'].map(path => ({
+		name: `the path ${JSON.stringify(path)}`,
+		text: `GET ${path} HTTP/1.1\r\n${host}${service}\r\n`,
+		status: 400,
+		refusal: 'malformed',
+	})),
 	{
 		name: 'a missing service',
 		text: `GET / HTTP/1.1\r\n${host}\r\n`,
