Ignore announcements of servers whose id no header can name

Callers saw: after one announcement under an id with a line break, or with a letter beyond Latin-1, the next request to the server ended its node, and every call in hand with it. Cause: the id is decoded from the path of the announcement and written on as a header of each request to the server; the client of Node.js throws at such a value. Why this works: an id that is no header value names no server that could be addressed.

--- a/test/platform/announcement-listener.test.ts
+++ b/test/platform/announcement-listener.test.ts
@@ -72,6 +72,11 @@
 		formatPost('/Instances.Deregister/%E0%A4', '{}'),
 		404,
 	],
+	...['a%0D%0Ab', '%C4%8D', '%20'].map((id): readonly [string, string, number] => [
+		`the id ${id}, which no header can name,`,
+		formatPost(`/Instances.Heartbeat/${id}`, heartbeat),
+		404,
+	]),
 	['a heartbeat that is not JSON', formatPost('/Instances.Heartbeat/one', '{'), 400],
 	[
 		'a heartbeat with a field of another type',
