Refuse gossip with addresses that sockets throw at

Callers saw: one datagram with a member at port 0 ended each node that asked this member for its load, and every call in hand with it. Cause: ports from 0 to 65535 and any text as a host were taken from gossip; the UDP and HTTP clients of Node.js throw at port 0. Where membership itself sends to it, its event loop logs the exception and goes on, so that what else the event should have sent is lost. Why this works: the codec, through which every packet passes, refuses ports below 1 and hosts that are no IP addresses, in records and in indirect pings. Members send no others: the settings of a relay ask for an IP address now, as the ones of the product's own node did.

--- a/src/membership/codec.ts
+++ b/src/membership/codec.ts
@@ -6,7 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {Packet as WirePacket} from '../generated/membership.js';
 import {type Body, type Packet, type Rumour} from './message.js';
-import {addRumour, readName, readRumours} from './rumour-codec.js';
+import {addRumour, readHost, readName, readPort, readRumours} from './rumour-codec.js';
 
 /** Maximum size of a datagram, to avoid IP fragmentation on paths between regions. */
 export const maximumDatagramBytes = 1200;
@@ -166,7 +166,13 @@
 		}
 
 		case 'indirectPing': {
-			return {kind: 'indirectPing', ...body.value};
+			const {host, controlPort} = body.value;
+			return {
+				kind: 'indirectPing',
+				...body.value,
+				host: readHost(host),
+				controlPort: readPort(controlPort),
+			};
 		}
 
 		case 'syncRequest': {
--- a/src/membership/rumour-codec.ts
+++ b/src/membership/rumour-codec.ts
@@ -3,6 +3,7 @@
  * once in each packet.
  */
 import {Buffer} from 'node:buffer';
+import {isIP} from 'node:net';
 import {type Detail, type Packet as WirePacket} from '../generated/membership.js';
 import {memberStatuses, type Member, type MemberStatus} from './member.js';
 import {type Rumour} from './message.js';
@@ -136,7 +137,7 @@
 		nodeId: readName(detail.nodeId),
 		incarnation,
 		status: standing.status,
-		host: readName(detail.host),
+		host: readHost(detail.host),
 		peerPort: readPort(detail.peerPort),
 		controlPort: readPort(detail.controlPort),
 		region: readName(names[detail.region - 1]),
@@ -167,8 +168,28 @@
 	return name;
 }
 
-function readPort(port: number): number {
-	if (port > maximumPort) {
+/**
+ * Checks a received host.
+ *
+ * @param host the host
+ * @returns the host; throws a RangeError unless it is an IP address
+ */
+export function readHost(host: string): string {
+	if (isIP(host) === 0) {
+		throw new RangeError('host is no IP address');
+	}
+
+	return host;
+}
+
+/**
+ * Checks a received port. Sockets throw when they are given another one to send to.
+ *
+ * @param port the port
+ * @returns the port; throws a RangeError when it is out of range
+ */
+export function readPort(port: number): number {
+	if (port < 1 || port > maximumPort) {
 		throw new RangeError('port is out of range');
 	}
 
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -29,8 +29,8 @@
 		readiness: z.string().min(1),
 		/** For the announcements of the local server. */
 		announcements: z.string().min(1),
-		/** Host at which other nodes reach this one. */
-		host: z.string().min(1),
+		/** IP address at which other nodes reach this one. */
+		host: z.union([z.ipv4(), z.ipv6()]),
 		/** Address to bind for other nodes, if it differs from `host`. */
 		bind: z.string().min(1).optional(),
 		/** For other nodes: attempts over TCP, queries over UDP. */
