Pass on any name and number of the document of routes

Callers saw: a document of routes with a route, region or health path that no header or path may hold, or with a latency target that is no whole number below 2^32, ended nodes at the next request, and every call in hand with them. A process that was started again met the same document at once. Cause: names were written as headers between nodes, the health path as a path and the latency target as a field of 32 bits; the client of Node.js and the encoder throw at such values. Why this works: between nodes names are percent-encoded, so that they survive the hop as they are; to the server they go as UTF-8. Plain names stay as they were, so that nodes of both versions understand each other. Numbers are rounded and clamped to the field. A region whose name holds a comma was taken for two regions by other nodes; that is gone with the encoding.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -26,7 +26,13 @@
 	type RunningExchange,
 } from './exchange.js';
 export {refuseMalformed} from './malformed-request.js';
-export {findRequestHeadFault, isHeaderValue, type RequestHead} from './message-head.js';
+export {
+	encodeHeaderText,
+	findRequestHeadFault,
+	isHeaderValue,
+	isRequestTarget,
+	type RequestHead,
+} from './message-head.js';
 export {
 	connectionStates,
 	createOpenCalls,
--- a/src/http/message-head.ts
+++ b/src/http/message-head.ts
@@ -2,6 +2,7 @@
  * States which heads may be passed on. The parser of Node.js accepts more than its writer, which throws; so what
  * was received is checked before any of it is used, by the grammar of RFC 9110 and RFC 9112.
  */
+import {Buffer} from 'node:buffer';
 import type {HeaderList} from '../call/index.js';
 
 /** The first line and the headers of a request. */
@@ -36,7 +37,7 @@
 		return 'the method is not a token';
 	}
 
-	if (!targetPattern.test(head.path)) {
+	if (!isRequestTarget(head.path)) {
 		return 'the path is empty or contains white space or control characters';
 	}
 
@@ -64,6 +65,25 @@
 	return text !== '' && text === text.trim() && valuePattern.test(text);
 }
 
+/**
+ * Tells whether a text can be the path of a request.
+ *
+ * @param text path and query
+ */
+export function isRequestTarget(text: string): boolean {
+	return targetPattern.test(text);
+}
+
+/**
+ * Encodes a text as the value of a header: its bytes in UTF-8, which leaves ASCII as it is.
+ *
+ * @param text a text without control characters
+ * @returns one character for each byte
+ */
+export function encodeHeaderText(text: string): string {
+	return Buffer.from(text, 'utf8').toString('latin1');
+}
+
 function findHeaderFault(headers: HeaderList): string | undefined {
 	for (let index = 0; index < headers.length; index += 2) {
 		if (!tokenPattern.test(headers[index]!)) {
--- a/src/relay/gate-socket.ts
+++ b/src/relay/gate-socket.ts
@@ -201,7 +201,12 @@
 			}
 
 			const sentAt = options.now();
-			const loadQuestion = {...question, rank: Math.max(0, Math.floor(question.rank))};
+			const loadQuestion = {
+				...question,
+				rank: toUint32(Math.floor(question.rank)),
+				targetMilliseconds: toUint32(question.targetMilliseconds),
+				bodyBytes: toUint32(question.bodyBytes),
+			};
 			const body: Body = {$case: 'loadQuestion', value: loadQuestion};
 			const readReport = (
 				answer: GateDatagram | undefined,
--- a/src/relay/peer-headers.ts
+++ b/src/relay/peer-headers.ts
@@ -1,4 +1,7 @@
-/** The headers that carry an attempt from its ingress to another node's gate. */
+/**
+ * The headers that carry an attempt from its ingress to another node's gate. Names from the configuration may hold
+ * characters that no header may, so they are percent-encoded.
+ */
 import {
 	copyEndToEndHeaders,
 	findHeader,
@@ -8,6 +11,7 @@
 	type Body,
 	type HeaderList,
 } from '../call/index.js';
+import {decodePathSegment} from '../http/index.js';
 import type {RelayAttempt} from './call.js';
 
 const names = {
@@ -57,17 +61,17 @@
 		names.request,
 		call.requestId,
 		names.route,
-		call.route,
+		encodeURIComponent(call.route),
 		names.service,
-		call.service,
+		encodeURIComponent(call.service),
 		names.origin,
-		call.originService,
+		encodeURIComponent(call.originService),
 		names.figures,
 		figures.join(','),
 		names.flags,
 		letters.join(''),
-		...(call.team === undefined ? [] : [names.team, call.team]),
-		...(call.homes === undefined ? [] : [names.homes, call.homes.join(',')]),
+		...(call.team === undefined ? [] : [names.team, encodeURIComponent(call.team)]),
+		...(call.homes === undefined ? [] : [names.homes, formatHomes(call.homes)]),
 	];
 }
 
@@ -114,6 +118,7 @@
 	now: number,
 ): RelayAttempt | undefined {
 	const read = (name: string): string => findHeader(head.rawHeaders, name) ?? '';
+	const team = findHeader(head.rawHeaders, names.team);
 	const id = parseAttemptId(read(names.attempt));
 	const [rank, targetMilliseconds, target, deadline, maximumAttempts] = read(
 		names.figures,
@@ -130,13 +135,13 @@
 		isRetry: letters.includes(flags.retry),
 		call: {
 			requestId: read(names.request),
-			route: read(names.route),
-			service: read(names.service),
+			route: decodeName(read(names.route)),
+			service: decodeName(read(names.service)),
 			method: head.method,
 			path: head.path,
 			headers: copyEndToEndHeaders(head.rawHeaders),
 			body,
-			originService: read(names.origin),
+			originService: decodeName(read(names.origin)),
 			rank: rank!,
 			idempotent: letters.includes(flags.idempotent),
 			nested: letters.includes(flags.nested),
@@ -146,12 +151,24 @@
 			targetAt: now + target!,
 			deadlineAt: now + deadline,
 			maximumAttempts: maximumAttempts ?? 1,
-			team: findHeader(head.rawHeaders, names.team),
+			team: team === undefined ? undefined : decodeName(team),
 			homes: parseHomes(findHeader(head.rawHeaders, names.homes)),
 		},
 	};
 }
 
 function parseHomes(homes: string | undefined): readonly string[] | undefined {
-	return homes?.split(',').filter(home => home !== '');
+	return homes
+		?.split(',')
+		.filter(home => home !== '')
+		.map(home => decodeName(home));
+}
+
+function formatHomes(homes: readonly string[]): string {
+	return homes.map(home => encodeURIComponent(home)).join(',');
+}
+
+/** Nodes of earlier versions send names as they are. */
+function decodeName(text: string): string {
+	return decodePathSegment(text) ?? text;
 }
