--- a/stand-ins/platform/store.ts
+++ b/stand-ins/platform/store.ts
@@ -53,6 +53,8 @@
 	readonly version: () => number;
 	/** Delays each response; 0 for no delay. */
 	readonly setDelay: (milliseconds: number) => void;
+	/** Writes this text in place of each response; undefined for normal responses. */
+	readonly answerRaw: (text: string | undefined) => void;
 	/** Applies each request, then closes its connection instead of responding. */
 	readonly setResponseLoss: (isLosingResponses: boolean) => void;
 };
@@ -68,6 +70,7 @@
 		delay: 0,
 		isLosingResponses: false,
 		pageLength: Number.POSITIVE_INFINITY,
+		rawAnswer: undefined as string | undefined,
 	};
 
 	function putRow(entry: RowKey & {readonly value: string}): void {
@@ -170,6 +173,12 @@
 	}
 
 	const server = createServer((request, response) => {
+		if (state.rawAnswer !== undefined) {
+			request.resume();
+			request.socket.write(Buffer.from(state.rawAnswer, 'latin1'));
+			return;
+		}
+
 		if (state.isUnavailable) {
 			respond(response, 503, {});
 			return;
@@ -228,6 +237,9 @@
 		setDelay(milliseconds) {
 			state.delay = milliseconds;
 		},
+		answerRaw(text) {
+			state.rawAnswer = text;
+		},
 		setResponseLoss(isLosingResponses) {
 			state.isLosingResponses = isLosingResponses;
 		},
