End an exchange whose connection closes without a response

Cause: Node.js closes the connection after a switch of protocols that nobody listens for, and reports neither a response nor an error. The promise of the exchange never settled, not even when the gate cancelled it at the deadline, and its slot was never freed.

--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -128,6 +128,12 @@
 		request.on('error', error => {
 			resolve(createFailure(error, progress));
 		});
+		// After a switch of protocols the request closes without a response or an error.
+		request.on('close', () => {
+			if (received.response === undefined) {
+				resolve(createFailure(new Error('closed without a response'), progress));
+			}
+		});
 	});
 	sendBody(request, options);
 	return {
--- a/test/http/exchange.test.ts
+++ b/test/http/exchange.test.ts
@@ -123,6 +123,14 @@
 		},
 		kind: exchangeKinds.lost,
 	})),
+	// The exchange never ended, and held its slot for good.
+	...['', 'Connection: upgrade\r\nUpgrade: other\r\n'].map(lines => ({
+		name: `a switch of protocols with "${lines}" is lost`,
+		respond(socket: Socket) {
+			socket.write(`HTTP/1.1 101 Switching Protocols\r\n${lines}\r\nbytes`);
+		},
+		kind: exchangeKinds.lost,
+	})),
 	...[': a', 'with space: a', 'space-behind : a'].map(line => ({
 		name: `a response with the header "${line}" is lost`,
 		respond(socket: Socket) {
--- a/test/process/malformed-answers.test.ts
+++ b/test/process/malformed-answers.test.ts
@@ -18,7 +18,7 @@
 
 const latin1 = 'latin1';
 const speedProbeMilliseconds = 300;
-const statuses = ['000', '042', '099', '100', '103', '204', '304', '600', '999'];
+const statuses = ['000', '042', '099', '100', '101', '103', '204', '304', '600', '999'];
 const chunked = 'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n';
 const largeChunk = `Transfer-Encoding: chunked\r\n\r\n1e8480\r\n${'b'.repeat(2_000_000)}`;
 
