--- a/src/relay/gate-socket.ts
+++ b/src/relay/gate-socket.ts
@@ -308,6 +308,11 @@
 	return {$case: 'loadAnswer', value};
 }
 
+/** An estimate that is no number counts as the longest, since it cannot be relied on. */
 function toUint32(value: number): number {
+	if (Number.isNaN(value)) {
+		return maximumUint32;
+	}
+
 	return Math.min(maximumUint32, Math.max(0, Math.round(value)));
 }
--- a/test/process/malformed-answers.test.ts
+++ b/test/process/malformed-answers.test.ts
@@ -29,6 +29,7 @@
 			const {server} = mesh.nodes[0]!;
 			server.answerRaw((socket, id) => {
 				const text = `${line}\r\nX-Request-Id: ${id}\r\nX-Response-Seal: seal-${id}\r\n${rest}`;
+				socket.setMaxListeners(0);
 				socket.on('error', () => undefined);
 				socket.write(Buffer.from(text, latin1), () => {
 					if (rest === largeChunk) {
@@ -72,12 +73,17 @@
 	expect(await countServed(mesh)).toEqual(countSound(mesh));
 });
 
-const healthCases = statuses.flatMap(status =>
-	[': a', 'with space: a', 'X-Instance-Id: \u00E9'].map(header => ({
+const healthCases = [...statuses, '200'].flatMap(status =>
+	[
+		': a',
+		'with space: a',
+		'X-Instance-Id: \u00E9',
+		...(status === '200' ? unusualHeaders : []),
+	].map(header => ({
 		name: `status ${status} and ${header}`,
 		async play(mesh: Parameters<MessageCase['play']>[0]) {
 			const {server} = mesh.nodes[0]!;
-			const text = `HTTP/1.1 ${status} Unusual\r\n${header}\r\nX-Instance-Load: 0,0,8,100\r\n${empty}`;
+			const text = `HTTP/1.1 ${status} Unusual\r\n${header}\r\n${empty}`;
 			server.answerHealthRaw(socket => {
 				socket.write(Buffer.from(text, latin1));
 			});
--- a/test/support/malformed-messages.ts
+++ b/test/support/malformed-messages.ts
@@ -31,7 +31,11 @@
 	'Upgrade: other',
 	'Keep-Alive: timeout=-1',
 	'X-Instance-Load: NaN,-1,1e400,-5',
+	'X-Instance-Load: 0,0,8,1e308',
+	'X-Instance-Load: 1e308,1e308,8,1e-308',
 	'Server-Limit: 1e400',
+	'Server-Limit: 0.0000001',
+	'X-Warmup-Remaining: 1e308',
 ] as const;
 
 const settleMilliseconds = 20;
