--- a/test/support/relay-mesh.ts
+++ b/test/support/relay-mesh.ts
@@ -34,6 +34,7 @@
 	/** Kills the process, if it still runs, and starts another with the same settings. */
 	readonly restart: () => Promise<void>;
 	readonly server: StandInPlatformServer;
+	readonly settingsFile: string;
 	readonly callersPort: number;
 	readonly readinessPort: number;
 	readonly metricsPort: number;
@@ -208,6 +209,7 @@
 			current = startProcess(file, options.nodeFlags, logs);
 		},
 		server,
+		settingsFile: file,
 		callersPort: callers!,
 		readinessPort: readiness!,
 		metricsPort: metrics!,
