Keep stopping in order when told to stop again

Callers saw: a second SIGTERM during a planned stop ended the process at once. All that it had passed on was cut without an answer, requests that may not repeat among them. Cause: the handlers of SIGTERM and SIGINT were removed with the first signal, so that the next one had its default effect. Why this works: the handlers stay, and further signals change nothing, since the stop is bounded by its grace time. Found while looking for the report on planned stops that cut what came late; whether that report had this cause is not known.

--- a/src/node/stop.ts
+++ b/src/node/stop.ts
@@ -15,7 +15,7 @@
 const drainNoticeMilliseconds = 2000;
 
 /**
- * Handles SIGTERM and SIGINT until the scope is closed.
+ * Handles SIGTERM and SIGINT until the scope is closed; without a handler, a second signal would end the process.
  *
  * @param requested completed by the first signal
  */
@@ -27,8 +27,8 @@
 	};
 
 	const add = Effect.sync(() => {
-		process.once('SIGTERM', request);
-		process.once('SIGINT', request);
+		process.on('SIGTERM', request);
+		process.on('SIGINT', request);
 	});
 	const remove = Effect.sync(() => {
 		process.removeListener('SIGTERM', request);
--- a/test/process/planned-stop.test.ts
+++ b/test/process/planned-stop.test.ts
@@ -129,3 +129,23 @@
 	expect([answer.status, answer.outcome]).toEqual([200, 'ran']);
 	expect(await stopping!.process.ended).toEqual(0);
 });
+
+// The second signal ended the process, and cut the call.
+test('a stopping node that is told to stop again still waits for its calls', async context => {
+	const nodes = await startThreeNodes(context);
+	const [stopping] = nodes;
+	const call = sendCall({
+		port: stopping!.dataPort,
+		service,
+		headers: {'x-stand-in-service-time-ms': '1500', 'foxtailtide-deadline-ms': '10000'},
+	});
+	await sleep(warmUpMilliseconds);
+	for (const signal of ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGINT'] as const) {
+		stopping!.process.signal(signal);
+		await sleep(warmUpMilliseconds / 3);
+	}
+
+	const answer = await call;
+	expect([answer.status, answer.outcome]).toEqual([200, 'ran']);
+	expect(await stopping!.process.ended).toEqual(0);
+});
