Count a large answer as running at its gate until its end

Cause: the gate ended a request when the head of a streamed answer had arrived. The stop found nothing in flight and the process ended. The slot of the server counted as free from then on too, though the server was at work. Why this works: the request, its slot and its time limit end with the body, so that a stop waits for it and nothing more is sent to a full server. A body that stalls is still cancelled after the deadline.

--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -3,6 +3,7 @@
  * it, so it knows exactly how many run, keeps the queue in order and sends nothing new to a server
  * that is leaving. A request that it refuses before dispatch is reported as not run.
  */
+import type {Readable} from 'node:stream';
 import {
 	admissionResults,
 	admitAttempt,
@@ -14,6 +15,7 @@
 	dispatchAttempt,
 	finishAttempt,
 	formatAttemptId,
+	isBuffered,
 	outcomes,
 	refusalKinds,
 	type AttemptId,
@@ -36,6 +38,7 @@
 	offerOutcomes,
 	recordSlowdown,
 	type OfferResult,
+	type RequestEnd,
 } from '../waiting/index.js';
 import {refuseWhereClosed} from './closed-gate.js';
 import {createEntry, describeEntry, isParentOf, type GateEntry} from './gate-entry.js';
@@ -259,19 +262,37 @@
 			entry.request.deadlineAt - now() + deadlineGraceMilliseconds,
 		);
 		void entry.exchange.result.then(result => {
-			clearTimeout(timer);
-			handleResult(entry, result);
+			handleResult(entry, result, () => {
+				clearTimeout(timer);
+			});
 		});
 	}
 
-	function handleResult(entry: GateEntry, result: ServerResult): void {
+	function handleResult(
+		entry: GateEntry,
+		result: ServerResult,
+		stopTimer: () => void,
+	): void {
 		const finishedAt = now();
 		const duration = finishedAt - entry.startedAt;
-		entries.delete(entry.key);
-		finishAttempt(attempts, entry.attempt.id);
 		recordServerResult(entry, result, finishedAt);
 		const isComplete = result.kind === serverResultKinds.answered && !entry.cancelled;
-		queue.finish(entry.key, {isComplete});
+		const release = (end: RequestEnd): void => {
+			stopTimer();
+			entries.delete(entry.key);
+			finishAttempt(attempts, entry.attempt.id);
+			queue.finish(entry.key, end);
+		};
+
+		const stream = findStream(result.result);
+		if (stream === undefined) {
+			release({isComplete});
+		} else {
+			// Until its end the server works on it; how long that takes depends on the reader.
+			stream.once('close', () => {
+				release({isComplete: false});
+			});
+		}
 
 		log.info('gate finished', {
 			...describeEntry(entry),
@@ -440,3 +461,10 @@
 		},
 	};
 }
+
+/** Finds the body of a response that is still being received. */
+function findStream(result: AttemptResult): Readable | undefined {
+	return result.kind === attemptResultKinds.answered && !isBuffered(result.body)
+		? result.body
+		: undefined;
+}
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -12,6 +12,7 @@
 	outcomes,
 	refusalKinds,
 	type AttemptResult,
+	type Body,
 	type RefusalKind,
 } from '../call/index.js';
 import {
@@ -192,6 +193,10 @@
 				discardConnections();
 			}
 
+			if (fault !== undefined || metadata.declaredNotRun || metadata.isOtherServer) {
+				discardBody(result.body);
+			}
+
 			return fault === undefined
 				? classifyResponse(result, metadata)
 				: {
@@ -298,6 +303,13 @@
 	};
 }
 
+/** Ends the receipt of a body that is not passed on. */
+function discardBody(body: Body): void {
+	if (!isBuffered(body)) {
+		body.destroy();
+	}
+}
+
 function createKeepAliveAgent(options: ServerClientOptions): Agent {
 	return new Agent({
 		keepAlive: true,
