Refuse all calls of a stopping node one step before it ends

Suspected: a call that a stopping node receives between its last look at what is in flight and its end is passed on and cut. Why this is right anyway: when nothing is in flight and no calls come, the node now refuses calls, which is true and tells them to go elsewhere, and ends at the next look without one in flight. With a grace period under 6 s the reserve of one second took more than a sixth of it, in which a server may still be at work. It is a sixth at most now.

--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -128,6 +128,7 @@
 	);
 	log.info('node stopping', {inFlight: components.callers.countInFlight()});
 	let isDraining = false;
+	let isClosed = false;
 	for (;;) {
 		const {running, waiting} = components.gate.state();
 		const step = decideStopStep({
@@ -135,6 +136,7 @@
 			graceMilliseconds: settings.stop.graceMilliseconds,
 			inFlight: running + waiting + components.callers.countInFlight(),
 			idleMilliseconds: now() - components.callers.lastRequestAt(),
+			isClosed,
 		});
 		if (step === stopSteps.end) {
 			break;
@@ -146,6 +148,11 @@
 			void membership.leave();
 		}
 
+		if (step === stopSteps.close && !isClosed) {
+			isClosed = true;
+			components.startDraining(now());
+		}
+
 		await sleep(stopCheckMilliseconds);
 	}
 
--- a/src/relay/stop.ts
+++ b/src/relay/stop.ts
@@ -14,6 +14,8 @@
 	readonly inFlight: number;
 	/** Time since the last call. */
 	readonly idleMilliseconds: number;
+	/** Whether all calls are refused already. */
+	readonly isClosed: boolean;
 };
 
 export const stopSteps = {
@@ -21,6 +23,8 @@
 	notice: 'notice',
 	/** The gate accepts no new requests and finishes those in flight. */
 	drain: 'drain',
+	/** The node refuses all calls, so that none is accepted that the end would cut. */
+	close: 'close',
 	end: 'end',
 } as const;
 
@@ -36,6 +40,8 @@
  * time, for which a VM with a fraction of a core needs several times as long.
  */
 const closeReserveMilliseconds = 1000;
+/** The reserve is at most this share of the grace period; callers count on the rest. */
+const closeReserveShare = 1 / 6;
 
 /**
  * Computes when a stopping process ends at the latest.
@@ -48,11 +54,16 @@
 	stoppingSince: number,
 	graceMilliseconds: number,
 ): number {
-	return stoppingSince + graceMilliseconds - closeReserveMilliseconds;
+	const reserve = Math.min(
+		closeReserveMilliseconds,
+		graceMilliseconds * closeReserveShare,
+	);
+	return stoppingSince + graceMilliseconds - reserve;
 }
 
 /**
- * Decides the current step of a stop.
+ * Decides the current step of a stop. Between the last call that may be accepted and the end lies one step at least, in
+ * which a call that was received meanwhile is refused.
  *
  * @param progress the state of the node
  * @returns the step
@@ -67,8 +78,12 @@
 		return stopSteps.notice;
 	}
 
+	if (progress.isClosed) {
+		return inFlight === 0 ? stopSteps.end : stopSteps.close;
+	}
+
 	const isIdle =
 		elapsedMilliseconds >= callersGoneMilliseconds &&
 		progress.idleMilliseconds >= idleThresholdMilliseconds;
-	return isIdle && inFlight === 0 ? stopSteps.end : stopSteps.drain;
+	return isIdle && inFlight === 0 ? stopSteps.close : stopSteps.drain;
 }
