--- a/test/platform/settings-template.test.ts
+++ b/test/platform/settings-template.test.ts
@@ -6,31 +6,31 @@
 import {parseRelaySettings} from '../../src/relay/index.js';
 
 const file = path.resolve(import.meta.dirname, '../../deploy/node.yaml.template');
-const texts: Readonly<Record<string, string>> = {
-	node: 'node',
-	region: 'coast',
-	zone: 'coast-0',
-	service: 'bookings',
-	ip: '127.0.0.1',
-	'app-addr': '127.0.0.1:1',
-	'listen.outbound': '127.0.0.1:2',
-	'listen.ready': '127.0.0.1:3',
-	'listen.control': '127.0.0.1:4',
-	'platform.addr': '127.0.0.1:5',
-	'port-range.0': '6',
-	'port-range.1': '7',
-	'limits.link-mbps': '12.5',
-	'bounds.config-ms': '2000',
-	'bounds.budget-ratio': '0.2',
-	'bounds.budget-slack': '58',
-	'bounds.revoke-ms': '5000',
-};
+const texts: ReadonlyMap<string, string> = new Map([
+	['node', 'node'],
+	['region', 'coast'],
+	['zone', 'coast-0'],
+	['service', 'bookings'],
+	['ip', '127.0.0.1'],
+	['app-addr', '127.0.0.1:1'],
+	['listen.outbound', '127.0.0.1:2'],
+	['listen.ready', '127.0.0.1:3'],
+	['listen.control', '127.0.0.1:4'],
+	['platform.addr', '127.0.0.1:5'],
+	['port-range.0', '6'],
+	['port-range.1', '7'],
+	['limits.link-mbps', '12.5'],
+	['bounds.config-ms', '2000'],
+	['bounds.budget-ratio', '0.2'],
+	['bounds.budget-slack', '58'],
+	['bounds.revoke-ms', '5000'],
+]);
 
 function render(seconds: string): string {
 	return readFileSync(file, 'utf8')
 		.replaceAll(/\{\{[#\/][^\}]*\}\}/gv, '')
 		.replaceAll(/\{\{([^\|\}]*)(\|json)?\}\}/gv, (_, name: string, json?: string) => {
-			const text = texts[name] ?? seconds;
+			const text = texts.get(name) ?? seconds;
 			return json ? JSON.stringify(text) : text;
 		});
 }
