Reset the caller's connection when an answer without a length fails

Cause, two parts: a reset that comes while nothing is left to read reaches the exchange as an error of the socket, after which the parser takes the body for complete; only one reported as an end was noticed. And a body that fails destroyed the response, which closes the connection in order, before the handler that resets it ran. Why this works: the error of the socket counts as a reset, and the failure of the body resets the connection before the pipeline sees it.

--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -318,6 +318,8 @@
 				resolve(error ?? undefined);
 			});
 		});
+		// The parser takes the body for complete then, as after an orderly end.
+		socket.once('error', resolve);
 		socket.once('close', () => {
 			resolve(undefined);
 		});
--- a/src/http/response.ts
+++ b/src/http/response.ts
@@ -4,7 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream';
+import {pipeline, type Readable} from 'node:stream';
 import {
 	attemptResultKinds,
 	createRefusal,
@@ -52,18 +52,30 @@
 		return;
 	}
 
+	if (serverResponse.isCloseDelimited) {
+		resetOnFailure(serverResponse.body, response);
+	}
+
 	pipeline(serverResponse.body, response, error => {
-		if (!error) {
-			return;
+		if (error) {
+			response.destroy();
 		}
+	});
+}
 
-		// Without a length, an orderly close would mark the truncated body as complete.
-		if (serverResponse.isCloseDelimited) {
+/**
+ * Resets the connection when the body fails. Without a length, an orderly close would mark the truncated body as
+ * complete. To be called before the body is piped, since the pipeline closes the connection in order.
+ */
+function resetOnFailure(body: Readable, response: ServerResponse): void {
+	const reset = (): void => {
+		if (!body.readableEnded) {
 			response.socket?.resetAndDestroy();
 		}
+	};
 
-		response.destroy();
-	});
+	body.once('error', reset);
+	body.once('close', reset);
 }
 
 /**
--- a/test/http/exchange.test.ts
+++ b/test/http/exchange.test.ts
@@ -237,14 +237,16 @@
 
 test('a large close-delimited body whose connection is reset ends as truncated, another as complete', async () => {
 	const ends: string[] = [];
-	for (const isReset of [true, false]) {
+	const closes: ReadonlyArray<(socket: Socket) => void> = [
+		socket => socket.resetAndDestroy(),
+		// A reset that comes while nothing is left to read was taken for the end of the body.
+		socket => setTimeout(() => socket.resetAndDestroy(), 50),
+		socket => socket.end(),
+	];
+	for (const close of closes) {
 		const server = await listen(socket => {
 			socket.write(`${head}Connection: close\r\n\r\n${'b'.repeat(150_000)}`, () => {
-				if (isReset) {
-					socket.resetAndDestroy();
-				} else {
-					socket.end();
-				}
+				close(socket);
 			});
 		});
 		const agent = new Agent({keepAlive: true});
@@ -260,5 +262,5 @@
 		server.close();
 	}
 
-	expect(ends).toEqual(['truncated', 'complete']);
+	expect(ends).toEqual(['truncated', 'truncated', 'complete']);
 });
