--- a/test/process/malformed-store-answers.test.ts
+++ b/test/process/malformed-store-answers.test.ts
@@ -5,7 +5,12 @@
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {sendNodeRequest, type RelayMesh} from '../support/relay-mesh.js';
+import {
+	createConfiguration,
+	sendNodeRequest,
+	waitFor,
+	type RelayMesh,
+} from '../support/relay-mesh.js';
 import {
 	countServed,
 	countSound,
@@ -78,5 +83,12 @@
 	expect(await findHarmful(mesh, cases)).toEqual([]);
 	const times = await listProofTimes(mesh);
 	expect(times.filter(time => !Number.isSafeInteger(time))).toEqual([]);
+	// An exchange that never ended would keep a node from asking again.
+	mesh.store.putConfiguration(createConfiguration(2));
+	await waitFor(() =>
+		mesh.nodes.every(({logs}) =>
+			logs.some(line => line.message === 'routes in force' && line.version === 2),
+		),
+	);
 	expect(await countServed(mesh)).toEqual(countSound(mesh));
 });
