Refuse attempts whose names decode to control characters

Evidence: without the check test/relay/peer-headers and two of the new attempts of test/process/malformed-requests fail ('Invalid character in header content'). The listeners hand the received request to the check of its head, which takes it as it is.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -30,6 +30,7 @@
 	encodeHeaderText,
 	findRequestHeadFault,
 	isHeaderValue,
+	isPrintable,
 	isRequestTarget,
 	type RequestHead,
 } from './message-head.js';
--- a/src/http/message-head.ts
+++ b/src/http/message-head.ts
@@ -3,15 +3,11 @@
  * was received is checked before any of it is used, by the grammar of RFC 9110 and RFC 9112.
  */
 import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
 import type {HeaderList} from '../call/index.js';
 
-/** The first line and the headers of a request. */
-export type RequestHead = {
-	readonly method: string;
-	/** Path and query as received. */
-	readonly path: string;
-	readonly headers: HeaderList;
-};
+/** The first line and the headers of a request, as received. */
+export type RequestHead = Pick<IncomingMessage, 'method' | 'url' | 'rawHeaders'>;
 
 /** The status and the headers of a response. */
 export type ResponseHead = {
@@ -24,6 +20,7 @@
 const tokenPattern = /^[\w!#$%\u0026'*+\-.^`\|~]+$/v;
 /** Visible characters and bytes beyond ASCII, with tabs and spaces between them. */
 const valuePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
+const printablePattern = /^[^\p{Cc}\p{Cs}]*$/v;
 const targetPattern = /^[\u0021-\u007E\u0080-\u00FF]+$/v;
 
 /**
@@ -33,15 +30,15 @@
  * @returns the reason; undefined if the head is valid
  */
 export function findRequestHeadFault(head: RequestHead): string | undefined {
-	if (!tokenPattern.test(head.method)) {
+	if (!tokenPattern.test(head.method ?? '')) {
 		return 'the method is not a token';
 	}
 
-	if (!isRequestTarget(head.path)) {
+	if (!isRequestTarget(head.url ?? '')) {
 		return 'the path is empty or contains white space or control characters';
 	}
 
-	return findHeaderFault(head.headers);
+	return findHeaderFault(head.rawHeaders);
 }
 
 /**
@@ -74,10 +71,19 @@
 	return targetPattern.test(text);
 }
 
+/**
+ * Tells whether a text is free of control characters and can be encoded.
+ *
+ * @param text the text
+ */
+export function isPrintable(text: string): boolean {
+	return printablePattern.test(text);
+}
+
 /**
  * Encodes a text as the value of a header: its bytes in UTF-8, which leaves ASCII as it is.
  *
- * @param text a text without control characters
+ * @param text a printable text
  * @returns one character for each byte
  */
 export function encodeHeaderText(text: string): string {
--- a/src/node/ingress.ts
+++ b/src/node/ingress.ts
@@ -104,11 +104,7 @@
 			response.shouldKeepAlive = false;
 		}
 
-		const fault = findRequestHeadFault({
-			method: request.method!,
-			path: request.url!,
-			headers: request.rawHeaders,
-		});
+		const fault = findRequestHeadFault(request);
 		if (fault !== undefined) {
 			refuseMalformedHead(response, fault);
 			return;
--- a/src/node/peer-listener.ts
+++ b/src/node/peer-listener.ts
@@ -66,11 +66,7 @@
 	response: ServerResponse,
 	onDispatch: (() => void) | undefined,
 ): void {
-	const fault = findRequestHeadFault({
-		method: request.method!,
-		path: request.url!,
-		headers: request.rawHeaders,
-	});
+	const fault = findRequestHeadFault(request);
 	if (fault !== undefined) {
 		refuseMalformedHead(response, fault);
 		return;
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -148,11 +148,7 @@
 		arrivedAt: number,
 	): void {
 		const metadata = protocol.readCallerHeaders(request.rawHeaders);
-		const fault = findRequestHeadFault({
-			method: request.method!,
-			path: request.url!,
-			headers: request.rawHeaders,
-		});
+		const fault = findRequestHeadFault(request);
 		if (fault !== undefined) {
 			refuse(response, metadata, createMalformedHeadRefusal(fault));
 			return;
--- a/src/relay/peer-headers.ts
+++ b/src/relay/peer-headers.ts
@@ -11,7 +11,7 @@
 	type Body,
 	type HeaderList,
 } from '../call/index.js';
-import {decodePathSegment} from '../http/index.js';
+import {decodePathSegment, isPrintable} from '../http/index.js';
 import type {RelayAttempt} from './call.js';
 
 const names = {
@@ -118,7 +118,6 @@
 	now: number,
 ): RelayAttempt | undefined {
 	const read = (name: string): string => findHeader(head.rawHeaders, name) ?? '';
-	const team = findHeader(head.rawHeaders, names.team);
 	const id = parseAttemptId(read(names.attempt));
 	const [rank, targetMilliseconds, target, deadline, maximumAttempts] = read(
 		names.figures,
@@ -129,19 +128,28 @@
 		return undefined;
 	}
 
+	const route = decodeName(read(names.route));
+	const service = decodeName(read(names.service));
+	const originService = decodeName(read(names.origin));
+	const team = readTeam(head.rawHeaders);
+	// They are written on, and decoding may have brought control characters to light.
+	if (![route, service, originService, team ?? ''].every(name => isPrintable(name))) {
+		return undefined;
+	}
+
 	const letters = read(names.flags);
 	return {
 		id,
 		isRetry: letters.includes(flags.retry),
 		call: {
 			requestId: read(names.request),
-			route: decodeName(read(names.route)),
-			service: decodeName(read(names.service)),
+			route,
+			service,
 			method: head.method,
 			path: head.path,
 			headers: copyEndToEndHeaders(head.rawHeaders),
 			body,
-			originService: decodeName(read(names.origin)),
+			originService,
 			rank: rank!,
 			idempotent: letters.includes(flags.idempotent),
 			nested: letters.includes(flags.nested),
@@ -151,12 +159,17 @@
 			targetAt: now + target!,
 			deadlineAt: now + deadline,
 			maximumAttempts: maximumAttempts ?? 1,
-			team: team === undefined ? undefined : decodeName(team),
+			team,
 			homes: parseHomes(findHeader(head.rawHeaders, names.homes)),
 		},
 	};
 }
 
+function readTeam(headers: HeaderList): string | undefined {
+	const team = findHeader(headers, names.team);
+	return team === undefined ? undefined : decodeName(team);
+}
+
 function parseHomes(homes: string | undefined): readonly string[] | undefined {
 	return homes
 		?.split(',')
--- a/src/relay/peer-listener.ts
+++ b/src/relay/peer-listener.ts
@@ -116,9 +116,7 @@
 	response: ServerResponse,
 	options: PeerListenerOptions,
 ): void {
-	const {rawHeaders} = request;
-	const head = {method: request.method!, path: request.url!, rawHeaders};
-	const fault = findRequestHeadFault({...head, headers: rawHeaders});
+	const fault = findRequestHeadFault(request);
 	if (fault !== undefined) {
 		refuseMalformedHead(response, fault);
 		return;
@@ -126,6 +124,8 @@
 
 	response.writeProcessing();
 	receiveBody(request, options.inboundLink, body => {
+		const {method, url, rawHeaders} = request;
+		const head = {method: method!, path: url!, rawHeaders};
 		const attempt = parsePeerAttempt(head, body, options.now());
 		if (attempt === undefined) {
 			refuseNonPeer(response);
--- a/test/process/malformed-requests.test.ts
+++ b/test/process/malformed-requests.test.ts
@@ -105,6 +105,9 @@
 	const mesh = await startWithOneServer(context);
 	const cases = [
 		...heads.map(head => createAttemptCase(head)),
+		...['origin', 'team', 'service'].map(name =>
+			createAttemptCase(`${soundHead}\r\nfoxtailtide-${name}: a%0Ab`),
+		),
 		...figures.map(numbers => createAttemptCase(soundHead, numbers)),
 		createAttemptCase(chunkedHead, soundFigures, largeChunk),
 	];
--- a/test/relay/peer-headers.test.ts
+++ b/test/relay/peer-headers.test.ts
@@ -13,8 +13,8 @@
 		const id = {ingress: 'node/1', sequence: 1};
 		const headers = buildPeerHeaders({id, call, isRetry: false}, call.arrivedAt);
 		const {method, path, body} = call;
-		expect(findRequestHeadFault({method, path, headers})).toEqual(undefined);
 		const head = {method, path, rawHeaders: headers};
+		expect(findRequestHeadFault({...head, url: path})).toEqual(undefined);
 		const received = parsePeerAttempt(head, body, call.arrivedAt);
 		const {route, service, originService, team, homes} = received!.call;
 		expect({route, service, originService, team, homes}).toEqual({
@@ -23,3 +23,16 @@
 		});
 	});
 }
+
+// Such a name would be written on to the server, which ends the process.
+test('an attempt with a name that decodes to control characters is refused', () => {
+	const call = createCall('one');
+	const id = {ingress: 'node/1', sequence: 1};
+	const headers = buildPeerHeaders(
+		{id, call: {...call, originService: 'a\nb'}, isRetry: false},
+		call.arrivedAt,
+	);
+	const {method, path, body} = call;
+	const received = parsePeerAttempt({method, path, rawHeaders: headers}, body, 0);
+	expect(received).toEqual(undefined);
+});
