Free the slot of a large answer whose body has closed already

Found on reading; not seen. A body that closed before the gate began to wait for its close would have held its slot for good. The state of the body is looked at first now.

--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -289,7 +289,7 @@
 			release({isComplete});
 		} else {
 			// Until its end the server works on it; how long that takes depends on the reader.
-			stream.once('close', () => {
+			onClose(stream, () => {
 				release({isComplete: false});
 			});
 		}
@@ -468,3 +468,12 @@
 		? result.body
 		: undefined;
 }
+
+function onClose(stream: Readable, done: () => void): void {
+	if (stream.closed) {
+		done();
+		return;
+	}
+
+	stream.once('close', done);
+}
