Claim the ports of the demo's test as other tests do

Cause: the test chose 20 of the ports from 12000 to 20000 by its process id, while all others claim theirs in blocks from the same range, so that it could meet ports in use. Its ports are claimed as well now; what the test checks is the same.

--- a/test/process/demo.test.ts
+++ b/test/process/demo.test.ts
@@ -5,14 +5,23 @@
 import {test} from 'node:test';
 import {promisify} from 'node:util';
 import {expect} from 'earl';
+import {findFreePorts} from '../support/processes.js';
 
 const root = path.resolve(import.meta.dirname, '../..');
-const lowestPort = 12_000;
 const portsPerRun = 20;
-const concurrentRuns = 400;
+
+/** Claims ports in a row, which no other test uses meanwhile. */
+async function claimPorts(): Promise<number> {
+	for (;;) {
+		const ports = await findFreePorts(portsPerRun);
+		if (ports.at(-1)! - ports[0]! === portsPerRun - 1) {
+			return ports[0]!;
+		}
+	}
+}
 
 test('the demo shows calls, a preset switch on all nodes and a state dump, and exits', async () => {
-	const firstPort = lowestPort + (process.pid % concurrentRuns) * portsPerRun;
+	const firstPort = await claimPorts();
 	const {stdout} = await promisify(execFile)(
 		process.execPath,
 		[path.join(root, 'dist/demo.cjs'), '--first-port', String(firstPort)],
