--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -10,7 +10,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 
 export type StandInPlatformServerOptions = {
 	readonly id: string;
@@ -52,9 +52,13 @@
 	readonly isLeaving?: boolean;
 };
 
+/** Tells whether the server crashes when it runs a request. */
+export type IsCrashing = (path: string, body: string) => boolean;
+
 /** A request that the server started to run. */
 export type ReceivedRequest = {
 	readonly requestId: string;
+	readonly path: string;
 	readonly at: number;
 	readonly originService: string;
 	readonly deadlineMilliseconds: number;
@@ -94,6 +98,12 @@
 	readonly setCold: (milliseconds: number) => void;
 	/** Resets the connection, after processing, of requests whose path contains this. */
 	readonly resetConnectionsOnPath: (path: string) => void;
+	/** Crashes while it runs such a request, and is back after a time under another id. */
+	readonly crashOn: (isCrashing: IsCrashing, backAfterMilliseconds: number) => void;
+	/** Crashes now, as on such a request. */
+	readonly crash: (backAfterMilliseconds: number) => void;
+	/** Monotonic times at which it crashed, in milliseconds. */
+	readonly crashes: readonly number[];
 	/** Stops immediately; resolves when its port is free. */
 	readonly close: () => Promise<void>;
 };
@@ -107,8 +117,14 @@
 	options: StandInPlatformServerOptions,
 ): StandInPlatformServer {
 	const receivedRequests: ReceivedRequest[] = [];
-	const born = Date.now();
+	const crashes: number[] = [];
 	const state = {
+		id: options.id,
+		born: Date.now(),
+		isDown: false,
+		backAt: undefined as NodeJS.Timeout | undefined,
+		isCrashing: undefined as
+			{readonly test: IsCrashing; readonly backAfter: number} | undefined,
 		sequence: 0,
 		running: 0,
 		resetPath: '',
@@ -124,7 +140,7 @@
 
 	function handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const requestId = String(request.headers['x-request-id']);
-		request.resume();
+		crashAfterBody(request);
 		if (state.behaviour === serverBehaviours.shed) {
 			response.writeHead(503, {
 				'x-request-id': requestId,
@@ -137,6 +153,7 @@
 
 		receivedRequests.push({
 			requestId,
+			path: request.url!,
 			at: Date.now(),
 			originService: String(request.headers['x-caller-service']),
 			deadlineMilliseconds: Number(request.headers['x-request-deadline']),
@@ -155,6 +172,48 @@
 		}, options.workMilliseconds * factor);
 	}
 
+	/** Reads the body, and crashes in the middle of the work if the request is of that kind. */
+	function crashAfterBody(request: IncomingMessage): void {
+		if (state.isCrashing === undefined) {
+			request.resume();
+			return;
+		}
+
+		const {test, backAfter} = state.isCrashing;
+		let body = '';
+		request.setEncoding('utf8');
+		request.on('data', (chunk: string) => {
+			body += chunk;
+		});
+		request.once('end', () => {
+			if (test(request.url!, body)) {
+				setTimeout(crash, options.workMilliseconds / 2, backAfter);
+			}
+		});
+	}
+
+	function crash(backAfterMilliseconds: number): void {
+		if (state.isDown) {
+			return;
+		}
+
+		crashes.push(performance.now());
+		state.isDown = true;
+		const {port} = server.address() as AddressInfo;
+		server.close();
+		server.closeAllConnections();
+		state.backAt = setTimeout(() => {
+			state.id = `${options.id}-${crashes.length + 1}`;
+			state.born = Date.now();
+			state.sequence = 0;
+			state.running = 0;
+			server.listen(port, '127.0.0.1', () => {
+				state.isDown = false;
+				void sendHeartbeat('ready');
+			});
+		}, backAfterMilliseconds);
+	}
+
 	function respond(requestId: string, response: ServerResponse): void {
 		const {behaviour} = state;
 		if (behaviour === serverBehaviours.mute) {
@@ -222,12 +281,12 @@
 		status: 'ready' | 'draining',
 		sequence: number,
 	): Promise<number> {
-		const {node} = state;
-		if (node === undefined) {
+		const {node, id, born} = state;
+		if (node === undefined || state.isDown) {
 			return 0;
 		}
 
-		return postToNode(node, `/Instances.Heartbeat/${options.id}`, {
+		return postToNode(node, `/Instances.Heartbeat/${id}`, {
 			addr: node.address,
 			born,
 			info: {
@@ -256,7 +315,7 @@
 			}
 
 			response.writeHead(200, {
-				'x-instance-id': options.id,
+				'x-instance-id': state.id,
 				'x-instance-load': describeLoad(),
 				'content-length': 0,
 				...listNoticeHeaders(),
@@ -295,7 +354,7 @@
 			clearInterval(timer);
 			return state.node === undefined
 				? 0
-				: postToNode(state.node, `/Instances.Deregister/${options.id}`, {born});
+				: postToNode(state.node, `/Instances.Deregister/${state.id}`, {born: state.born});
 		},
 		setBehaviour(behaviour) {
 			state.behaviour = behaviour;
@@ -315,8 +374,14 @@
 		resetConnectionsOnPath(path) {
 			state.resetPath = path;
 		},
+		crashOn(test, backAfter) {
+			state.isCrashing = {test, backAfter};
+		},
+		crash,
+		crashes,
 		async close() {
 			clearInterval(timer);
+			clearTimeout(state.backAt);
 			const closed = new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
--- a/test/support/relay-mesh.ts
+++ b/test/support/relay-mesh.ts
@@ -245,6 +245,7 @@
 export type NodeRequestOptions = {
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly method?: string;
+	readonly body?: string;
 	/** Connection pool; each request opens its own connection when absent. */
 	readonly agent?: Agent;
 };
@@ -253,7 +254,7 @@
 export async function sendNodeRequest(
 	port: number,
 	requestPath: string,
-	{headers = {}, method = 'GET', agent}: NodeRequestOptions = {},
+	{headers = {}, method = 'GET', body: sentBody, agent}: NodeRequestOptions = {},
 ): Promise<NodeResponse> {
 	return new Promise(resolve => {
 		const request = sendRequest(
@@ -282,7 +283,7 @@
 		request.on('error', () => {
 			resolve({status: 0, headers: {}, body: ''});
 		});
-		request.end();
+		request.end(sentBody);
 	});
 }
 
