Refuse a request that crashes servers at every node after few crashes

What callers saw: a request that crashes each server that runs it was sent to others again and again; half of the sound requests were not served meanwhile. A relay node took a crash for a lost connection, and knew nothing of a request beyond its call, so that the bound held for one call at one node and not for a request that comes again. The log now tells a crash, with the requests that ran. Change: a gate that loses a connection looks whether its server still listens. The requests that ran at a crash are told to all nodes by gossip, and to the ingress with the result. After two crashes without an answer a request is a suspect: all nodes send it to the same gate, where it runs alone; a crash there proves it. Why it works: the third crash is the proof, whichever nodes the request comes to, and only one server can run a suspect at a time.

--- a/src/call/refusal.ts
+++ b/src/call/refusal.ts
@@ -43,6 +43,8 @@
 	readonly message: string;
 	/** When to retry, in milliseconds from now. */
 	readonly retryAfterMilliseconds?: number;
+	/** Id of the crash of the server that ran the request; between nodes only. */
+	readonly crashId?: string;
 };
 
 const statusCodes: Readonly<Record<RefusalKind, number>> = {
@@ -74,6 +76,7 @@
 	kind: z.enum(refusalKinds),
 	message: z.string(),
 	retryAfterMilliseconds: z.number().optional(),
+	crashId: z.string().optional(),
 });
 
 /**
@@ -91,8 +94,9 @@
 		);
 	}
 
-	const {kind, message, retryAfterMilliseconds} = parsed.data;
-	return createRefusal(kind, message, retryAfterMilliseconds);
+	const {kind, message, retryAfterMilliseconds, crashId} = parsed.data;
+	const refusal = createRefusal(kind, message, retryAfterMilliseconds);
+	return crashId === undefined ? refusal : {...refusal, crashId};
 }
 
 function parseJson(text: string): unknown {
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -25,6 +25,7 @@
 	type ExchangeResult,
 	type RunningExchange,
 } from './exchange.js';
+export {isListening} from './server-probe.js';
 export {refuseMalformed} from './malformed-request.js';
 export {
 	encodeHeaderText,
--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -46,6 +46,7 @@
 import {encodeLoadReport} from '../routing/index.js';
 import {
 	exchangeKinds,
+	isListening,
 	startExchange,
 	type ExchangeFailed,
 	type ExchangeResult,
@@ -59,7 +60,6 @@
 	buildServerHeaders,
 	readServerResponse,
 } from './server-protocol.js';
-import {isListening} from './server-probe.js';
 
 /** The node's own server, as it announced itself. */
 export type LocalServer = {
--- a/src/relay/call-runner.ts
+++ b/src/relay/call-runner.ts
@@ -14,8 +14,11 @@
 	type RunningAttempt,
 } from '../call/index.js';
 import type {Logger} from '../log/index.js';
+import {crashVerdicts} from '../quarantine/index.js';
 import {chooseRetryAfter} from '../waiting/index.js';
 import type {RelayCall} from './call.js';
+import type {CrashQuarantine} from './crash-quarantine.js';
+import {createQuarantineRefusal, findReportedCrash} from './crash-result.js';
 import type {RelayGate} from './gate-types.js';
 import {decideRelayStep, reachedServer, relaySteps, type RelayStep} from './next-step.js';
 import type {PeerClient} from './peer-client.js';
@@ -28,6 +31,11 @@
 	readonly gate: Pick<RelayGate, 'run'>;
 	readonly peers: Pick<PeerClient, 'send'>;
 	readonly placer: Placer;
+	/** What is known of requests that crash servers. */
+	readonly quarantine: Pick<
+		CrashQuarantine,
+		'findVerdict' | 'listSuspectDigests' | 'recordReport' | 'recordAnswer'
+	>;
 	readonly log: Logger;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
@@ -84,6 +92,11 @@
 	async function runAttempts(state: CallState): Promise<void> {
 		let step: RelayStep = relaySteps.offer;
 		while (!state.finished && step !== relaySteps.end) {
+			if (options.quarantine.findVerdict(state.call) === crashVerdicts.proven) {
+				state.refusal = createQuarantineRefusal();
+				break;
+			}
+
 			const gates = await options.placer.orderGates(state.call, state.excluded);
 			const [best] = gates;
 			if (state.finished || best === undefined) {
@@ -107,10 +120,12 @@
 
 	async function attempt(state: CallState, gate: ScoredGate): Promise<AttemptResult> {
 		sequence = nextSequence(sequence, options.wallClock());
+		const suspectDigests = options.quarantine.listSuspectDigests(state.call);
 		const sent = {
 			id: {ingress: options.ingressName, sequence},
 			call: state.call,
 			isRetry: state.serverAttempts > 0,
+			...(suspectDigests.length > 0 && {suspectDigests}),
 		};
 		const {member} = gate;
 		state.offers += 1;
@@ -158,6 +173,7 @@
 
 	function decide(state: CallState, result: AttemptResult): RelayStep {
 		recordResult(state, result);
+		recordForQuarantine(state.call, result);
 		const {call} = state;
 		const step = decideRelayStep(result, {
 			idempotent: call.idempotent,
@@ -181,6 +197,17 @@
 		return step;
 	}
 
+	function recordForQuarantine(call: RelayCall, result: AttemptResult): void {
+		if (result.kind === attemptResultKinds.answered && isBuffered(result.body)) {
+			options.quarantine.recordAnswer(call);
+		}
+
+		const crash = findReportedCrash(result);
+		if (crash) {
+			options.quarantine.recordReport(call, crash);
+		}
+	}
+
 	function logPlacement(state: CallState, gates: readonly ScoredGate[]): void {
 		log.info('call placed', {
 			request: state.call.requestId,
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -44,4 +44,6 @@
 	readonly call: RelayCall;
 	/** Whether an earlier attempt reached a server, so that this one spends the retry budget. */
 	readonly isRetry: boolean;
+	/** Digests by which its ingress suspects it to crash servers; absent if there are none. */
+	readonly suspectDigests?: readonly string[];
 };
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -9,11 +9,13 @@
 import type {EventLog} from '../log/index.js';
 import {createMeasuringBudget} from '../measuring/index.js';
 import {isIsolated, isPoller, type Membership} from '../membership/index.js';
+import {crashVerdicts} from '../quarantine/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {AnnouncementHandler, PlatformAdapter} from './adapter.js';
 import {createAwaitedRoutes} from './awaited-routes.js';
 import {createCallerAdmission} from './caller-admission.js';
 import {createRelayRunner} from './call-runner.js';
+import {createCrashQuarantine} from './crash-quarantine.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
 import {createRelayGate} from './gate.js';
 import type {RelayGate} from './gate-types.js';
@@ -110,6 +112,8 @@
 		now,
 		sleep,
 	});
+	const ingressName = formatIngress(node.id, incarnation);
+	const quarantine = createCrashQuarantine({nodeName: ingressName, log, now});
 	const findService = () =>
 		routesHolder.current()?.table.services.find(({name}) => name === server.service);
 	const mayRunHere = createResidenceCheck({
@@ -143,6 +147,7 @@
 		tableEra: tableEra.current,
 		evacuatedDomains: () => evacuations.list().length,
 		members: () => membership?.all().length ?? 0,
+		quarantine: quarantine.state,
 		proof:
 			settings.teams.revocationMilliseconds === undefined
 				? undefined
@@ -169,6 +174,7 @@
 		mayRunHere,
 		healthPath: () => findService()?.healthPath,
 		probesPerSecond: settings.measuring.probesPerSecond,
+		quarantine,
 		retryPolicy: settings.repeats,
 		countGates: () => Math.max(1, membersOf(server.service).length),
 		onSlotsChanged(slots) {
@@ -218,6 +224,10 @@
 		socket: querySocket,
 		membersOf,
 		isEvacuated: evacuations.isEvacuated,
+		findSuspectKey: call =>
+			quarantine.findVerdict(call) === crashVerdicts.suspect
+				? quarantine.identify(call)
+				: undefined,
 		costs: settings.costs,
 		roundTrips,
 		leaving: leavingDomain,
@@ -231,7 +241,8 @@
 		log,
 		routes: routesHolder.current,
 		run: createRelayRunner({
-			ingressName: formatIngress(node.id, incarnation),
+			ingressName,
+			quarantine,
 			nodeId: node.id,
 			gate,
 			peers,
@@ -299,6 +310,7 @@
 		membership: membership?.dump(),
 		measuring: budget.bytesByUse,
 		allowances: allowances.dump(),
+		quarantine: quarantine.state(),
 		leavingShares: Object.fromEntries(leavingDomain?.shares() ?? []),
 		roundTrips: Object.fromEntries(roundTrips.list()),
 		droppedLines: log.countDropped(),
@@ -327,6 +339,7 @@
 			tableEra.attach(joined);
 			evacuations.attach(joined);
 			leavingServers.attach(joined);
+			quarantine.attach(joined);
 			proofKeeper.attach(joined);
 			const routes = routesHolder.current();
 			if (routes) {
--- a/src/relay/gate-entry.ts
+++ b/src/relay/gate-entry.ts
@@ -22,17 +22,19 @@
  * @param attempt the attempt
  * @param now monotonic time in milliseconds
  * @param settle called once with the result
+ * @param mustRunAlone whether nothing else may run beside it
  * @returns the entry, not started
  */
 export function createEntry(
 	attempt: RelayAttempt,
 	now: number,
 	settle: (result: AttemptResult) => void,
+	mustRunAlone: () => boolean,
 ): GateEntry {
 	return {
 		key: formatAttemptId(attempt.id),
 		attempt,
-		request: createGateRequest(attempt, now),
+		request: {...createGateRequest(attempt, now), mustRunAlone},
 		settle,
 		serverId: undefined,
 		exchange: undefined,
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -22,12 +22,14 @@
 	type AttemptResult,
 	type Refusal,
 } from '../call/index.js';
+import {isListening} from '../http/index.js';
 import {
 	createFailureRate,
 	currentFailureShare,
 	recordAttemptResult,
 	type FailureRate,
 } from '../placing/index.js';
+import {crashVerdicts} from '../quarantine/index.js';
 import {
 	chooseRetryAfter,
 	estimateTransferTime,
@@ -41,8 +43,11 @@
 	type RequestEnd,
 } from '../waiting/index.js';
 import {refuseWhereClosed} from './closed-gate.js';
+import {createCrashResult, createQuarantineRefusal} from './crash-result.js';
+import {createCrashWatch} from './crash-watch.js';
 import {createEntry, describeEntry, isParentOf, type GateEntry} from './gate-entry.js';
 import {createGateQueue} from './gate-queue.js';
+import type {RelayAttempt} from './call.js';
 import type {RelayGate, RelayGateOptions} from './gate-types.js';
 import {createLocalServer} from './local-server.js';
 import {createRetryAllowance} from './retry-allowance.js';
@@ -88,6 +93,7 @@
 		hasAnnouncedLeaving: options.hasAnnouncedLeaving,
 		onLeaving: options.onServerLeaving,
 		onNewProcess({warmupMilliseconds}) {
+			crashWatch.recordNewProcess();
 			client.discardConnections();
 			failureRate = createFailureRate();
 			queue.resetServer(warmupMilliseconds);
@@ -97,6 +103,21 @@
 		onRequestRate: queue.changeRequestRate,
 		onCold: queue.recordCold,
 	});
+	const crashWatch = createCrashWatch({
+		isListening: async () => isListening(server.host, server.port),
+		listRunning: () =>
+			new Map(
+				[...entries]
+					.filter(([, {exchange}]) => exchange !== undefined)
+					.map(([key, {attempt}]) => [key, attempt.call]),
+			),
+		recordCrash: options.quarantine.recordCrash,
+		onCrash() {
+			markUnreachable('the server crashed', unreachableBackoffMilliseconds);
+		},
+		now,
+	});
+	options.quarantine.onProof(refuseProven);
 	const speedProbe = createSpeedProbe({
 		probe: async path => client.probe(describeTarget(), path),
 		healthPath: options.healthPath,
@@ -160,6 +181,12 @@
 
 		entries.set(entry.key, entry);
 		const {call} = entry.attempt;
+		options.quarantine.recordSuspicion(entry.attempt.suspectDigests ?? []);
+		if (options.quarantine.findVerdict(call) === crashVerdicts.proven) {
+			refuse(entry, createQuarantineRefusal(), {});
+			return;
+		}
+
 		const closedRefusal = refuseWhereClosed({
 			isAccepting: isAccepting() && call.service === server.service,
 			isLeaving: leaving,
@@ -185,6 +212,10 @@
 		offer(entry);
 	}
 
+	function mustRunAlone({call}: RelayAttempt): boolean {
+		return options.quarantine.findVerdict(call) === crashVerdicts.suspect;
+	}
+
 	function offer(entry: GateEntry): void {
 		const decision = queue.offer(entry.request);
 		if (decision.outcome === offerOutcomes.tooLate) {
@@ -261,13 +292,36 @@
 			},
 			entry.request.deadlineAt - now() + deadlineGraceMilliseconds,
 		);
-		void entry.exchange.result.then(result => {
-			handleResult(entry, result, () => {
-				clearTimeout(timer);
-			});
+		const stopTimer = (): void => {
+			clearTimeout(timer);
+		};
+
+		void entry.exchange.result.then(async result => {
+			const isSuspicious =
+				result.kind === serverResultKinds.lost &&
+				result.metadata === undefined &&
+				!entry.cancelled;
+			const crash = isSuspicious ? await crashWatch.check(entry.key) : undefined;
+			const reason = `the server crashed (${result.reason})`;
+			const ended = crash && {...result, result: createCrashResult(crash), reason};
+			handleResult(entry, ended ?? result, stopTimer);
 		});
 	}
 
+	/** Refuses the waiting requests that were proven to crash servers. */
+	function refuseProven(): void {
+		for (const key of queue.state().waiting.keys()) {
+			const entry = entries.get(key);
+			if (
+				entry &&
+				options.quarantine.findVerdict(entry.attempt.call) === crashVerdicts.proven
+			) {
+				queue.withdraw(key);
+				refuse(entry, createQuarantineRefusal(), {});
+			}
+		}
+	}
+
 	function handleResult(
 		entry: GateEntry,
 		result: ServerResult,
@@ -316,6 +370,11 @@
 
 		if (result.notice) {
 			localServer.handleNotice(result.notice, entry.serverId);
+			crashWatch.recordAnswer(entry.startedAt);
+		}
+
+		if (isAnswered(result)) {
+			options.quarantine.recordAnswer(entry.attempt.call);
 		}
 
 		if (entry.cancelled) {
@@ -392,7 +451,9 @@
 			const result = new Promise<AttemptResult>(resolve => {
 				settleResult = resolve;
 			});
-			const entry = createEntry(attempt, now(), settleResult);
+			const entry = createEntry(attempt, now(), settleResult, () =>
+				mustRunAlone(attempt),
+			);
 			admit(entry);
 			return {
 				result,
@@ -462,6 +523,11 @@
 	};
 }
 
+/** Whether the server ran the request to a response that has arrived in full. */
+function isAnswered({result}: ServerResult): boolean {
+	return result.kind === attemptResultKinds.answered && isBuffered(result.body);
+}
+
 /** Finds the body of a response that is still being received. */
 function findStream(result: AttemptResult): Readable | undefined {
 	return result.kind === attemptResultKinds.answered && !isBuffered(result.body)
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -31,6 +31,8 @@
 	/** Number of evacuated failure domains. */
 	readonly evacuatedDomains: () => number;
 	readonly members: () => number;
+	/** Requests that are suspected, and proven, to crash servers. */
+	readonly quarantine: () => {readonly suspects: number; readonly proven: number};
 	/** Undefined where routes need no proof of their age. */
 	readonly proof: ProofFigures | undefined;
 	readonly droppedLines: () => number;
@@ -151,6 +153,16 @@
 			sources.evacuatedDomains,
 		],
 		['foxtailtide_members', 'Nodes that are held alive.', sources.members],
+		[
+			'foxtailtide_crash_suspects',
+			'Requests that may crash servers and run alone.',
+			() => sources.quarantine().suspects,
+		],
+		[
+			'foxtailtide_crash_proven',
+			'Requests that are refused since they crash servers.',
+			() => sources.quarantine().proven,
+		],
 		['foxtailtide_log_lines_dropped', 'Log lines dropped.', sources.droppedLines],
 	];
 	const {proof} = sources;
--- a/src/relay/next-step.ts
+++ b/src/relay/next-step.ts
@@ -96,6 +96,13 @@
 			: relaySteps.answer;
 	}
 
+	const isProvenCause =
+		result.kind === attemptResultKinds.refused &&
+		result.refusal.kind === refusalKinds.crashProven;
+	if (isProvenCause) {
+		return relaySteps.end;
+	}
+
 	if (result.kind === attemptResultKinds.lost || result.outcome !== outcomes.notRun) {
 		return progress.idempotent && mayRetry(progress) ? relaySteps.retry : relaySteps.end;
 	}
--- a/src/relay/peer-headers.ts
+++ b/src/relay/peer-headers.ts
@@ -28,6 +28,8 @@
 	team: 'foxtailtide-team',
 	/** Regions, separated by commas; absent if any may run the request. */
 	homes: 'foxtailtide-homes',
+	/** Digests, separated by commas; absent if it is not suspected to crash servers. */
+	suspect: 'foxtailtide-suspect',
 } as const;
 
 const flags = {idempotent: 'i', nested: 'n', repeated: 'p', retry: 'r'} as const;
@@ -72,6 +74,9 @@
 		letters.join(''),
 		...(call.team === undefined ? [] : [names.team, encodeURIComponent(call.team)]),
 		...(call.homes === undefined ? [] : [names.homes, formatHomes(call.homes)]),
+		...(attempt.suspectDigests === undefined
+			? []
+			: [names.suspect, attempt.suspectDigests.join(',')]),
 	];
 }
 
@@ -141,6 +146,7 @@
 	return {
 		id,
 		isRetry: letters.includes(flags.retry),
+		...readSuspicion(head.rawHeaders),
 		call: {
 			requestId: read(names.request),
 			route,
@@ -165,6 +171,11 @@
 	};
 }
 
+function readSuspicion(headers: HeaderList): Pick<RelayAttempt, 'suspectDigests'> {
+	const digests = findHeader(headers, names.suspect);
+	return digests === undefined ? {} : {suspectDigests: digests.split(',')};
+}
+
 function readTeam(headers: HeaderList): string | undefined {
 	const team = findHeader(headers, names.team);
 	return team === undefined ? undefined : decodeName(team);
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -15,6 +15,7 @@
 	scoreGates,
 	shouldQueryRemoteGates,
 	type ByteCosts,
+	type Candidate,
 	type CallBytes,
 	type Distance,
 	type LeavingDecision,
@@ -35,6 +36,7 @@
 import {createGateQueries} from './gate-queries.js';
 import type {GateSocket} from './gate-socket.js';
 import type {Leaving} from './leaving.js';
+import {orderForSuspect} from './suspect-order.js';
 
 export type PlacerOptions = {
 	readonly location: NodeLocation;
@@ -45,6 +47,8 @@
 	readonly isEvacuated: (failureDomain: string) => boolean;
 	readonly costs: ByteCosts;
 	readonly roundTrips: RoundTrips;
+	/** Finds the key of a call that is suspected to crash servers; undefined for others. */
+	readonly findSuspectKey: (call: RelayCall) => string | undefined;
 	/** Decides which calls leave the failure domain; undefined if that is switched off. */
 	readonly leaving: Leaving | undefined;
 	/** Monotonic time in milliseconds. */
@@ -105,8 +109,16 @@
 
 	/** Scores the gates by the reports that they have just given. */
 	function score(members: readonly Member[], call: RelayCall): ScoredGate[] {
-		const byId = new Map(members.map(member => [member.nodeId, member]));
 		const candidates = members.map(member => queries.describeCandidate(member));
+		return scoreCandidates(members, candidates, call);
+	}
+
+	function scoreCandidates(
+		members: readonly Member[],
+		candidates: readonly Candidate[],
+		call: RelayCall,
+	): ScoredGate[] {
+		const byId = new Map(members.map(member => [member.nodeId, member]));
 		const placement = describePlacement(call);
 		return scoreGates(candidates, placement, options.costs).map(gate => ({
 			...gate,
@@ -204,6 +216,23 @@
 		return pickAmongEqual(charged, placement, options.random);
 	}
 
+	/** Orders gates as every node does, whatever their last reports. */
+	function orderAlike(
+		members: readonly Member[],
+		call: RelayCall,
+		key: string,
+	): ScoredGate[] {
+		const ordered = orderForSuspect(members, key);
+		const candidates = ordered.map(member => ({
+			...queries.describeCandidate(member),
+			report: undefined,
+		}));
+		const positions = new Map(ordered.map(({nodeId}, index) => [nodeId, index]));
+		return scoreCandidates(ordered, candidates, call).toSorted(
+			(left, right) => positions.get(left.nodeId)! - positions.get(right.nodeId)!,
+		);
+	}
+
 	async function order(
 		call: RelayCall,
 		excluded: ReadonlySet<string>,
@@ -216,6 +245,15 @@
 					isHome(call.homes, region) &&
 					!options.isEvacuated(failureDomain),
 			);
+		const suspectKey = options.findSuspectKey(call);
+		if (suspectKey !== undefined) {
+			return orderAlike(
+				members.filter(({nodeId}) => !excluded.has(nodeId)),
+				call,
+				suspectKey,
+			);
+		}
+
 		const hasSameRegion = members.some(member => isSameRegion(member, location));
 		const candidates = orderForQueries(
 			members
--- a/src/waiting/gate-request.ts
+++ b/src/waiting/gate-request.ts
@@ -21,6 +21,8 @@
 	readonly targetAt: number;
 	/** Monotonic time after which a response is of no use. */
 	readonly deadlineAt: number;
+	/** Whether it may run only while nothing else does; absent if that never holds. */
+	readonly mustRunAlone?: () => boolean;
 };
 
 /**
--- a/src/waiting/queue.ts
+++ b/src/waiting/queue.ts
@@ -43,6 +43,8 @@
 	/** Requests that ran when it started, itself included. */
 	readonly runningAtStart: number;
 	readonly slowdownAtStart: number;
+	/** Whether nothing else starts while it runs. */
+	readonly isAlone: boolean;
 };
 
 export type QueueState = {
@@ -217,7 +219,7 @@
  * @returns the requests that start and those that are too late
  */
 export function assignSlots(state: QueueState, now: number): SlotAssignment {
-	state.limit = chooseLimit(state.concurrency, state.slots, now);
+	updateLimit(state, now);
 	updateColdLimit(state, now);
 	const tooLate = dropTooLate(state, now);
 	const started: string[] = [];
@@ -237,9 +239,16 @@
 			break;
 		}
 
+		const isAlone = next.mustRunAlone?.() ?? false;
+		// The requests behind it wait too, or the server would never be free of others.
+		if (isAlone && state.running.size > 0) {
+			break;
+		}
+
 		state.waiting.delete(next.id);
-		start(state, next, now);
+		start(state, next, isAlone, now);
 		started.push(next.id);
+		updateLimit(state, now);
 	}
 
 	return {started, tooLate, needsSpeedReport: false, isDeferring};
@@ -341,13 +350,26 @@
 	);
 }
 
-function start(state: QueueState, request: GateRequest, now: number): void {
+function updateLimit(state: QueueState, now: number): void {
+	const isOccupied = [...state.running.values()].some(({isAlone}) => isAlone);
+	state.limit = isOccupied
+		? Math.min(1, state.slots)
+		: chooseLimit(state.concurrency, state.slots, now);
+}
+
+function start(
+	state: QueueState,
+	request: GateRequest,
+	isAlone: boolean,
+	now: number,
+): void {
 	recordStart(state.startRate, now);
 	state.running.set(request.id, {
 		request,
 		startedAt: now,
 		runningAtStart: state.running.size + 1,
 		slowdownAtStart: currentSlowdown(state.speed, now),
+		isAlone,
 	});
 }
 
--- a/test/process/relay-crash-request.test.ts
+++ b/test/process/relay-crash-request.test.ts
@@ -17,7 +17,6 @@
 
 const nodeCount = 6;
 const backAfterMilliseconds = 2000;
-const repeatMilliseconds = 700;
 const playMilliseconds = 11_000;
 /** From then on after the third crash, only a few retries may reach servers. */
 const contactMilliseconds = 3000;
@@ -33,12 +32,18 @@
 	readonly soundBody?: string;
 	/** Path of the sound requests. */
 	readonly soundPath: string;
+	/** How often the crashing request comes again. */
+	readonly repeatMilliseconds: number;
+	/** Whether it comes at all nodes at the same time, or at one after the other. */
+	readonly isEverywhere?: boolean;
 };
 
-/** Sends a request at every node in turn until the play ends. */
-async function sendInTurn(
+type Schedule = {readonly interval: number; readonly isEverywhere: boolean};
+
+/** Sends requests to the nodes until the play ends. */
+async function sendRepeatedly(
 	nodes: readonly RelayNode[],
-	interval: number,
+	{interval, isEverywhere}: Schedule,
 	create: (index: number) => {
 		readonly id: string;
 		readonly path: string;
@@ -51,12 +56,16 @@
 	for (let index = 0; performance.now() < endsAt; index += 1) {
 		const {id, path, method, body} = create(index);
 		const at = performance.now();
-		const answer = sendNodeRequest(nodes[index % nodes.length]!.callersPort, path, {
-			method,
-			headers: {'x-request-id': id},
-			...(body !== undefined && {body}),
-		});
-		pending.push(answer.then(response => ({at, response})));
+		const targets = isEverywhere ? nodes : [nodes[index % nodes.length]!];
+		for (const {callersPort} of targets) {
+			const answer = sendNodeRequest(callersPort, path, {
+				method,
+				headers: {'x-request-id': `${id}-${callersPort}`},
+				...(body !== undefined && {body}),
+			});
+			pending.push(answer.then(response => ({at, response})));
+		}
+
 		await sleep(interval);
 	}
 
@@ -65,7 +74,7 @@
 
 async function play(context: TestContext, kind: RequestKind) {
 	const {nodes} = await startRelayMesh(context, nodeCount);
-	const {path, method} = kind;
+	const {path, method, isEverywhere = false} = kind;
 	for (const {server} of nodes) {
 		server.crashOn(
 			(requested, body) => requested === path && body === (kind.crashingBody ?? ''),
@@ -74,18 +83,22 @@
 	}
 
 	const [crashing, sound] = await Promise.all([
-		sendInTurn(nodes, repeatMilliseconds, index => ({
+		sendRepeatedly(nodes, {interval: kind.repeatMilliseconds, isEverywhere}, index => ({
 			id: `crashing-${index}`,
 			path,
 			method,
 			body: kind.crashingBody,
 		})),
-		sendInTurn(nodes, soundIntervalMilliseconds, index => ({
-			id: `sound-${index}`,
-			path: kind.soundPath,
-			method,
-			body: kind.soundBody,
-		})),
+		sendRepeatedly(
+			nodes,
+			{interval: soundIntervalMilliseconds, isEverywhere: false},
+			index => ({
+				id: `sound-${index}`,
+				path: kind.soundPath,
+				method,
+				body: kind.soundBody,
+			}),
+		),
 	]);
 	const crashes = nodes.flatMap(({server}) => server.crashes).toSorted((a, b) => a - b);
 	const lateFrom =
@@ -126,6 +139,7 @@
 	const played = await play(context, {
 		path: '/search/crash',
 		method: 'GET',
+		repeatMilliseconds: 700,
 		soundPath: '/search/sound',
 	});
 	expectRefusedAfterFewCrashes(played);
@@ -150,7 +164,19 @@
 		crashingBody: 'crash',
 		soundPath: '/book/1',
 		soundBody: 'crash ',
+		repeatMilliseconds: 700,
 	});
 	expectRefusedAfterFewCrashes(played);
 	expectOthersServed(played);
 });
+
+test('a GET that crashes servers and comes at all nodes at once is refused after few crashes', async context => {
+	const played = await play(context, {
+		path: '/search/crash',
+		method: 'GET',
+		repeatMilliseconds: 3500,
+		isEverywhere: true,
+		soundPath: '/search/sound',
+	});
+	expectRefusedAfterFewCrashes(played);
+});
--- a/test/relay/call-runner.test.ts
+++ b/test/relay/call-runner.test.ts
@@ -12,6 +12,7 @@
 import {memberStatuses, type Member} from '../../src/membership/index.js';
 import {distances} from '../../src/placing/index.js';
 import type {RelayCall} from '../../src/relay/call.js';
+import {createCrashQuarantine} from '../../src/relay/crash-quarantine.js';
 import {createRelayRunner} from '../../src/relay/call-runner.js';
 
 const silent = (): void => undefined;
@@ -82,6 +83,7 @@
 						reportAgeMilliseconds: 0,
 					})),
 		},
+		quarantine: createCrashQuarantine({nodeName: 'node-1/1', log, now}),
 		log,
 		now,
 		random: () => 0.5,
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -15,6 +15,7 @@
 import {attemptResultKinds, outcomes} from '../../src/call/index.js';
 import {createInboundLink} from '../../src/waiting/index.js';
 import type {RelayAttempt} from '../../src/relay/call.js';
+import {createCrashQuarantine} from '../../src/relay/crash-quarantine.js';
 import {createRelayGate} from '../../src/relay/gate.js';
 import type {RelayGateOptions} from '../../src/relay/gate-types.js';
 
@@ -45,6 +46,11 @@
 		maximumConnections: 10,
 		healthPath: () => '/health',
 		probesPerSecond,
+		quarantine: createCrashQuarantine({
+			nodeName: 'node/1',
+			log: {info: silent, warn: silent, error: silent},
+			now: () => performance.now(),
+		}),
 		retryPolicy: {ratio: 0.2, slack: 10, windowMilliseconds: 10_000},
 		countGates: () => 1,
 		onSlotsChanged: silent,
--- a/test/relay/placer.test.ts
+++ b/test/relay/placer.test.ts
@@ -100,6 +100,7 @@
 		},
 		membersOf: () => members,
 		isEvacuated,
+		findSuspectKey: () => undefined,
 		costs,
 		now,
 		random,
@@ -247,6 +248,7 @@
 				return undefined;
 			},
 		},
+		findSuspectKey: () => undefined,
 		isEvacuated: () => false,
 		membersOf: () => members.slice(1),
 		costs: {perKilobyteBetweenDomains: 0.01, perKilobyteBetweenRegions: 0.05},
