Count attempts for the retry budget when they are sent to the server

A gate counted each attempt that it was offered as a first attempt. A request that several gates refuse for their load was counted at each of them, up to six times, and allowed retries at each. Retries, too, were counted when they began to wait. Why it works: what is sent to servers is what the limit counts. A waiting retry holds its part, and gives it back if it is refused.

--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -153,6 +153,7 @@
 	): void {
 		entries.delete(entry.key);
 		finishAttempt(attempts, entry.attempt.id);
+		retryAllowance.release(entry.attempt);
 		log.info('gate refused', {
 			...describeEntry(entry),
 			refusal: refusal.kind,
@@ -203,7 +204,7 @@
 			return;
 		}
 
-		const excess = retryAllowance.record(entry.attempt);
+		const excess = retryAllowance.reserve(entry.attempt);
 		if (excess) {
 			refuse(entry, excess.refusal, excess.details);
 			return;
@@ -282,6 +283,7 @@
 			reportAge: Math.round(now() - queue.state().speed.reportedAt),
 		});
 		dispatchAttempt(attempts, entry.attempt.id);
+		retryAllowance.recordDispatch(entry.attempt);
 		entry.startedAt = now();
 		const target = describeTarget();
 		entry.serverId = target.id;
--- a/src/relay/retry-allowance.ts
+++ b/src/relay/retry-allowance.ts
@@ -1,10 +1,19 @@
-/** The retry budget of a gate, with the refusal of a retry that is beyond it. */
-import {createRefusal, refusalKinds, type Refusal} from '../call/index.js';
+/**
+ * The retry budget of a gate, with the refusal of a retry that is beyond it. Attempts count when they are sent to
+ * the server: one that the gate refuses is offered to other gates, which would all count it. Retries that wait
+ * hold their part of the budget.
+ */
+import {
+	createRefusal,
+	formatAttemptId,
+	refusalKinds,
+	type Refusal,
+} from '../call/index.js';
 import {
 	createRetryBudget,
+	mayRetry,
 	recordFirstAttempt,
-	recordRepeatedCall,
-	trySpendRetry,
+	recordRetry,
 } from '../repeats/index.js';
 import type {RelayAttempt} from './call.js';
 import type {RelayGateOptions} from './gate-types.js';
@@ -16,8 +25,12 @@
 };
 
 export type RetryAllowance = {
-	/** Records an attempt; a retry is refused when the budget is spent. */
-	readonly record: (attempt: RelayAttempt) => RetryExcess | undefined;
+	/** Reserves budget for a retry; it is refused when the budget is spent. */
+	readonly reserve: (attempt: RelayAttempt) => RetryExcess | undefined;
+	/** Records an attempt that is sent to the server. */
+	readonly recordDispatch: (attempt: RelayAttempt) => void;
+	/** Returns what a retry had reserved that is refused after all. */
+	readonly release: (attempt: RelayAttempt) => void;
 };
 
 /**
@@ -31,16 +44,16 @@
 ): RetryAllowance {
 	const {retryPolicy, now} = options;
 	const budget = createRetryBudget();
+	const reserved = new Set<string>();
 	return {
-		record({isRetry, call}) {
+		reserve({id, isRetry}) {
 			if (!isRetry) {
-				const recordAttempt = call.repeated ? recordRepeatedCall : recordFirstAttempt;
-				recordAttempt(budget, retryPolicy, now());
 				return undefined;
 			}
 
 			const gates = options.countGates();
-			if (trySpendRetry(budget, retryPolicy, gates, now())) {
+			if (mayRetry(budget, retryPolicy, {gates, reserved: reserved.size}, now())) {
+				reserved.add(formatAttemptId(id));
 				return undefined;
 			}
 
@@ -50,10 +63,19 @@
 				details: {
 					budget: 'repeats',
 					gates,
+					reserved: reserved.size,
 					repeats: budget.retries.length,
 					firsts: budget.firstAttempts.length,
 				},
 			};
 		},
+		recordDispatch({id, isRetry, call}) {
+			reserved.delete(formatAttemptId(id));
+			const recordAttempt = isRetry || call.repeated ? recordRetry : recordFirstAttempt;
+			recordAttempt(budget, retryPolicy, now());
+		},
+		release({id}) {
+			reserved.delete(formatAttemptId(id));
+		},
 	};
 }
--- a/src/repeats/index.ts
+++ b/src/repeats/index.ts
@@ -1,9 +1,10 @@
 /** Public API of the retry budget. */
 export {
 	createRetryBudget,
+	mayRetry,
 	recordFirstAttempt,
-	recordRepeatedCall,
-	trySpendRetry,
+	recordRetry,
 	type RetryBudget,
 	type RetryPolicy,
+	type RetryShare,
 } from './retry-budget.js';
--- a/src/repeats/retry-budget.ts
+++ b/src/repeats/retry-budget.ts
@@ -52,47 +52,46 @@
 }
 
 /**
- * Records a request made by a retry. It counts as a retry, but is not refused for that: the work of
+ * Records a retry, or a request made by one. The latter counts too, but is not refused for that: the work of
  * the request that made it would be lost.
  *
  * @param budget changed in place
  * @param policy the limit for the service
  * @param now monotonic time in milliseconds
  */
-export function recordRepeatedCall(
-	budget: RetryBudget,
-	policy: RetryPolicy,
-	now: number,
-): void {
+export function recordRetry(budget: RetryBudget, policy: RetryPolicy, now: number): void {
 	dropBefore(budget, now - policy.windowMilliseconds);
 	budget.retries.push(now);
 }
 
+/** What bounds the retries of one gate besides its own attempts. */
+export type RetryShare = {
+	/** Gates of the service that share the limit, this one included. */
+	readonly gates: number;
+	/** Retries that were admitted and are not recorded yet. */
+	readonly reserved: number;
+};
+
 /**
- * Admits and records one retry, if this gate's part of the limit allows it.
+ * Tells whether this gate's part of the limit allows one more retry.
  *
- * @param budget changed in place
+ * @param budget the gate's attempts; old ones are dropped
  * @param policy the limit for the service
- * @param gates gates of the service that share the limit, this one included
+ * @param share the gates that share the limit, and what is reserved of this gate's part
  * @param now monotonic time in milliseconds
- * @returns whether the retry is admitted
+ * @returns whether the retry may be admitted
  */
-export function trySpendRetry(
+export function mayRetry(
 	budget: RetryBudget,
 	policy: RetryPolicy,
-	gates: number,
+	{gates, reserved}: RetryShare,
 	now: number,
 ): boolean {
 	dropBefore(budget, now - policy.windowMilliseconds);
 	const allowed =
 		usedShare *
 		(policy.ratio * budget.firstAttempts.length + policy.slack / Math.max(1, gates));
-	if (budget.retries.length + 1 > allowed) {
-		return false;
-	}
-
-	budget.retries.push(now);
-	return true;
+	return budget.retries.length + reserved + 1 <= allowed;
 }
 
 function dropBefore(budget: RetryBudget, before: number): void {
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -17,7 +17,7 @@
 import type {RelayAttempt} from '../../src/relay/call.js';
 import {createCrashQuarantine} from '../../src/relay/crash-quarantine.js';
 import {createRelayGate} from '../../src/relay/gate.js';
-import type {RelayGateOptions} from '../../src/relay/gate-types.js';
+import type {RelayGate, RelayGateOptions} from '../../src/relay/gate-types.js';
 
 const silent = (): void => undefined;
 
@@ -311,3 +311,43 @@
 	const home = await gate.run(createAttempt(2)).result;
 	expect(home.kind).toEqual(attemptResultKinds.answered);
 });
+
+/** Sends retries at the same time and counts those that the retry budget admits. */
+async function countAdmittedRetries(gate: RelayGate, count: number): Promise<number> {
+	const results = await Promise.all(
+		Array.from(
+			{length: count},
+			async (_, index) =>
+				gate.run({...createAttempt(5000 + index), isRetry: true}).result,
+		),
+	);
+	return results.filter(
+		result =>
+			result.kind !== attemptResultKinds.refused ||
+			!result.refusal.message.includes('retry budget'),
+	).length;
+}
+
+test('requests that a gate refuses for its load allow no retries there', async context => {
+	const held: ServerResponse[] = [];
+	const gate = await startGate(
+		context,
+		(_request, response) => {
+			held.push(response);
+		},
+		0,
+		{retryPolicy: {ratio: 0.2, slack: 0, windowMilliseconds: 10_000}},
+	);
+	const firsts = Array.from({length: 100}, (_, index) => {
+		const attempt = createAttempt(index);
+		const {call} = attempt;
+		return gate.run({...attempt, call: {...call, deadlineAt: call.arrivedAt + 150}})
+			.result;
+	});
+	const refused = (await Promise.all(firsts)).filter(
+		result =>
+			result.kind === attemptResultKinds.refused && result.outcome === outcomes.notRun,
+	);
+	expect(refused.length).toBeGreaterThan(90);
+	expect(await countAdmittedRetries(gate, 10)).toEqual(0);
+});
--- a/test/repeats/retry-budget.test.ts
+++ b/test/repeats/retry-budget.test.ts
@@ -5,14 +5,29 @@
 import {
 	createRetryBudget,
 	recordFirstAttempt,
-	recordRepeatedCall,
-	trySpendRetry,
+	recordRetry,
+	mayRetry,
+	type RetryBudget,
 	type RetryPolicy,
 } from '../../src/repeats/index.js';
 
 const seed = 20_261_204;
 const policy: RetryPolicy = {ratio: 0.2, slack: 58, windowMilliseconds: 10_000};
 
+function trySpendRetry(
+	budget: RetryBudget,
+	limit: RetryPolicy,
+	gates: number,
+	now: number,
+): boolean {
+	const isAdmitted = mayRetry(budget, limit, {gates, reserved: 0}, now);
+	if (isAdmitted) {
+		recordRetry(budget, limit, now);
+	}
+
+	return isAdmitted;
+}
+
 test('every window stays within the limit while all gates fail half of their requests', () => {
 	const random = createRandom(seed);
 	const gates = Array.from({length: 6}, createRetryBudget);
@@ -54,7 +69,7 @@
 		const called = gates[Math.floor(random() * gates.length)]!;
 		if (random() < 0.15) {
 			counts.repeated += 1;
-			recordRepeatedCall(called, policy, now);
+			recordRetry(called, policy, now);
 		}
 
 		trySpendRetry(called, policy, gates.length, now);
