Let a gate that starts spend no slack for retries in its first window

A restarted gate had forgotten what it spent, and spent its part of the slack once more in the same window; where nodes are restarted in series the sum over all gates passes the limit. Evidence: the new test failed before: a gate that has just started admitted 6 of 10 retries, at a slack of 10. Why it works: for a window after its start a gate has only the part that follows from the attempts it has sent itself.

--- a/src/relay/retry-allowance.ts
+++ b/src/relay/retry-allowance.ts
@@ -43,7 +43,7 @@
 	options: Pick<RelayGateOptions, 'retryPolicy' | 'countGates' | 'now'>,
 ): RetryAllowance {
 	const {retryPolicy, now} = options;
-	const budget = createRetryBudget();
+	const budget = createRetryBudget(now());
 	const reserved = new Set<string>();
 	return {
 		reserve({id, isRetry}) {
--- a/src/repeats/retry-budget.ts
+++ b/src/repeats/retry-budget.ts
@@ -22,6 +22,8 @@
 	/** Monotonic times within the window, in milliseconds, oldest first; also of the retries. */
 	readonly firstAttempts: number[];
 	readonly retries: number[];
+	/** Monotonic time from which on the attempts are known. */
+	readonly knownSince: number;
 };
 
 /**
@@ -30,9 +32,14 @@
  */
 const usedShare = 0.6;
 
-/** @returns a budget without recorded attempts */
-export function createRetryBudget(): RetryBudget {
-	return {firstAttempts: [], retries: []};
+/**
+ * Creates a budget without recorded attempts.
+ *
+ * @param knownSince monotonic time of the gate's start; absent if it has never had any attempts
+ * @returns the budget
+ */
+export function createRetryBudget(knownSince = Number.NEGATIVE_INFINITY): RetryBudget {
+	return {firstAttempts: [], retries: [], knownSince};
 }
 
 /**
@@ -88,9 +95,10 @@
 	now: number,
 ): boolean {
 	dropBefore(budget, now - policy.windowMilliseconds);
-	const allowed =
-		usedShare *
-		(policy.ratio * budget.firstAttempts.length + policy.slack / Math.max(1, gates));
+	// An earlier life of the gate may have spent the slack of the window in which it ended.
+	const isWholeWindowKnown = now - budget.knownSince >= policy.windowMilliseconds;
+	const slack = isWholeWindowKnown ? policy.slack / Math.max(1, gates) : 0;
+	const allowed = usedShare * (policy.ratio * budget.firstAttempts.length + slack);
 	return budget.retries.length + reserved + 1 <= allowed;
 }
 
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -328,6 +328,8 @@
 	).length;
 }
 
+const shortWindowMilliseconds = 400;
+
 test('requests that a gate refuses for its load allow no retries there', async context => {
 	const held: ServerResponse[] = [];
 	const gate = await startGate(
@@ -338,16 +340,27 @@
 		0,
 		{retryPolicy: {ratio: 0.2, slack: 0, windowMilliseconds: 10_000}},
 	);
-	const firsts = Array.from({length: 100}, (_, index) => {
-		const attempt = createAttempt(index);
-		const {call} = attempt;
-		return gate.run({...attempt, call: {...call, deadlineAt: call.arrivedAt + 150}})
-			.result;
-	});
-	const refused = (await Promise.all(firsts)).filter(
+	const results = await Promise.all(
+		Array.from({length: 100}, async (_, index) => {
+			const attempt = createAttempt(index);
+			const {call} = attempt;
+			return gate.run({...attempt, call: {...call, deadlineAt: call.arrivedAt + 150}})
+				.result;
+		}),
+	);
+	const refused = results.filter(
 		result =>
 			result.kind === attemptResultKinds.refused && result.outcome === outcomes.notRun,
 	);
 	expect(refused.length).toBeGreaterThan(90);
 	expect(await countAdmittedRetries(gate, 10)).toEqual(0);
 });
+
+test('a gate that has just started does not spend the slack that it may have spent before', async context => {
+	const gate = await startGate(context, respond, 0, {
+		retryPolicy: {ratio: 0.2, slack: 10, windowMilliseconds: shortWindowMilliseconds},
+	});
+	expect(await countAdmittedRetries(gate, 10)).toEqual(0);
+	await sleep(shortWindowMilliseconds);
+	expect(await countAdmittedRetries(gate, 10)).toEqual(6);
+});
--- a/test/repeats/retry-budget.test.ts
+++ b/test/repeats/retry-budget.test.ts
@@ -30,7 +30,7 @@
 
 test('every window stays within the limit while all gates fail half of their requests', () => {
 	const random = createRandom(seed);
-	const gates = Array.from({length: 6}, createRetryBudget);
+	const gates = Array.from({length: 6}, () => createRetryBudget());
 	const firstAttempts: number[] = [];
 	const retries: number[] = [];
 	for (let now = 0; now < 60_000; now += 20) {
@@ -60,7 +60,7 @@
 
 test('requests made by retries leave less room for retries', () => {
 	const random = createRandom(seed);
-	const gates = Array.from({length: 6}, createRetryBudget);
+	const gates = Array.from({length: 6}, () => createRetryBudget());
 	const counts = {firstAttempts: 0, repeated: 0};
 	for (let now = 0; now < 10_000; now += 20) {
 		const gate = gates[Math.floor(random() * gates.length)]!;
