Keep a gate's part of the slack for retries when other gates go out of sight

The slack of the limit was divided by the gates that are alive in a node's own view. Cut off from the others, each side takes all of it: with two parts of three gates each, up to twice, while the servers on both sides count for one limit. The same where servers go down and come back. Why it works: a gate that is held dead still counts, and the largest number of gates within ten minutes divides the slack.

--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -8,7 +8,7 @@
 import {formatIngress} from '../call/index.js';
 import type {EventLog} from '../log/index.js';
 import {createMeasuringBudget} from '../measuring/index.js';
-import {isIsolated, isPoller, type Membership} from '../membership/index.js';
+import {isIsolated, isPoller, type Member, type Membership} from '../membership/index.js';
 import {crashVerdicts} from '../quarantine/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {AnnouncementHandler, PlatformAdapter} from './adapter.js';
@@ -72,6 +72,11 @@
 	readonly close: () => void;
 };
 
+/** Counts the gates of a service; one that is held dead may only be cut off, and go on. */
+function countGates(members: readonly Member[], service: string): number {
+	return members.filter(member => member.service === service).length;
+}
+
 /**
  * Creates the components; none of them listens yet.
  *
@@ -176,7 +181,7 @@
 		probesPerSecond: settings.measuring.probesPerSecond,
 		quarantine,
 		retryPolicy: settings.repeats,
-		countGates: () => Math.max(1, membersOf(server.service).length),
+		countGates: () => countGates(membership?.all() ?? [], server.service),
 		onSlotsChanged(slots) {
 			membership?.updateSelf({service: slots > 0 ? server.service : undefined, slots});
 		},
--- a/src/relay/retry-allowance.ts
+++ b/src/relay/retry-allowance.ts
@@ -10,9 +10,11 @@
 	type Refusal,
 } from '../call/index.js';
 import {
+	createRecentMaximum,
 	createRetryBudget,
 	mayRetry,
 	recordFirstAttempt,
+	recordMaximum,
 	recordRetry,
 } from '../repeats/index.js';
 import type {RelayAttempt} from './call.js';
@@ -33,6 +35,9 @@
 	readonly release: (attempt: RelayAttempt) => void;
 };
 
+/** How long gates that went out of sight still count: they may be cut off and go on. */
+const gatesPeriodMilliseconds = 600_000;
+
 /**
  * Creates the allowance of a gate that has had no attempts.
  *
@@ -45,13 +50,19 @@
 	const {retryPolicy, now} = options;
 	const budget = createRetryBudget(now());
 	const reserved = new Set<string>();
+	const recentGates = createRecentMaximum();
 	return {
 		reserve({id, isRetry}) {
 			if (!isRetry) {
 				return undefined;
 			}
 
-			const gates = options.countGates();
+			const gates = recordMaximum(
+				recentGates,
+				options.countGates(),
+				gatesPeriodMilliseconds,
+				now(),
+			);
 			if (mayRetry(budget, retryPolicy, {gates, reserved: reserved.size}, now())) {
 				reserved.add(formatAttemptId(id));
 				return undefined;
--- a/src/repeats/index.ts
+++ b/src/repeats/index.ts
@@ -1,4 +1,9 @@
 /** Public API of the retry budget. */
+export {
+	createRecentMaximum,
+	recordMaximum,
+	type RecentMaximum,
+} from './recent-maximum.js';
 export {
 	createRetryBudget,
 	mayRetry,
--- a/test/relay/gate.test.ts
+++ b/test/relay/gate.test.ts
@@ -312,14 +312,15 @@
 	expect(home.kind).toEqual(attemptResultKinds.answered);
 });
 
+let retriesSent = 0;
+
 /** Sends retries at the same time and counts those that the retry budget admits. */
 async function countAdmittedRetries(gate: RelayGate, count: number): Promise<number> {
 	const results = await Promise.all(
-		Array.from(
-			{length: count},
-			async (_, index) =>
-				gate.run({...createAttempt(5000 + index), isRetry: true}).result,
-		),
+		Array.from({length: count}, async () => {
+			retriesSent += 1;
+			return gate.run({...createAttempt(5000 + retriesSent), isRetry: true}).result;
+		}),
 	);
 	return results.filter(
 		result =>
@@ -364,3 +365,16 @@
 	await sleep(shortWindowMilliseconds);
 	expect(await countAdmittedRetries(gate, 10)).toEqual(6);
 });
+
+test('a gate that is cut off from others does not take their part of the slack', async context => {
+	let gates = 6;
+	const gate = await startGate(context, respond, 0, {
+		retryPolicy: {ratio: 0.2, slack: 60, windowMilliseconds: shortWindowMilliseconds},
+		countGates: () => gates,
+	});
+	await sleep(shortWindowMilliseconds);
+	const before = await countAdmittedRetries(gate, 40);
+	gates = 1;
+	await sleep(shortWindowMilliseconds);
+	expect([before, await countAdmittedRetries(gate, 40)]).toEqual([6, 6]);
+});
