Count the time in which the body of an attempt arrives against its deadline

The time left is stated in the head of an attempt between nodes, and was counted from the arrival of its whole body: a body that takes 0.7 s gave the server 0.7 s more than its caller waits. Why it works: both are set by the moment at which the head has arrived.

--- a/src/relay/peer-headers.ts
+++ b/src/relay/peer-headers.ts
@@ -114,7 +114,7 @@
  *
  * @param head the received request
  * @param body its body
- * @param now monotonic time in milliseconds
+ * @param now monotonic time in milliseconds at which its head arrived
  * @returns the attempt; undefined if the request is not from a node
  */
 export function parsePeerAttempt(
--- a/src/relay/peer-listener.ts
+++ b/src/relay/peer-listener.ts
@@ -122,11 +122,13 @@
 		return;
 	}
 
+	// The time left was stated in the head; what the body takes to arrive is part of it.
+	const arrivedAt = options.now();
 	response.writeProcessing();
 	receiveBody(request, options.inboundLink, body => {
 		const {method, url, rawHeaders} = request;
 		const head = {method: method!, path: url!, rawHeaders};
-		const attempt = parsePeerAttempt(head, body, options.now());
+		const attempt = parsePeerAttempt(head, body, arrivedAt);
 		if (attempt === undefined) {
 			refuseNonPeer(response);
 			return;
--- a/test/relay/peer-hop.test.ts
+++ b/test/relay/peer-hop.test.ts
@@ -1,8 +1,9 @@
 /** Responses between two nodes that end early, or are written once more. */
 import {Buffer} from 'node:buffer';
-import {createServer as createHttpServer} from 'node:http';
+import {createServer as createHttpServer, request as sendRequest} from 'node:http';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
 	attemptResultKinds,
@@ -13,8 +14,11 @@
 } from '../../src/call/index.js';
 import {writeAttemptResult} from '../../src/http/index.js';
 import type {RelayAttempt} from '../../src/relay/call.js';
+import {createAwaitedRoutes} from '../../src/relay/awaited-routes.js';
 import {createPeerClient} from '../../src/relay/peer-client.js';
-import {buildResponseHeaders} from '../../src/relay/peer-headers.js';
+import {createRelayPeerListener} from '../../src/relay/peer-listener.js';
+import {createInboundLink} from '../../src/waiting/index.js';
+import {buildPeerHeaders, buildResponseHeaders} from '../../src/relay/peer-headers.js';
 import {describeMember} from '../membership/simulated-mesh.js';
 import {createCall} from '../support/relay-call.js';
 
@@ -136,3 +140,52 @@
 	const second = await send(2);
 	expect(second.kind).toEqual(attemptResultKinds.lost);
 });
+
+test('time in which the body of an attempt arrives is not given back to it', async context => {
+	const received: RelayAttempt[] = [];
+	const listener = createRelayPeerListener({
+		run(attempt) {
+			received.push(attempt);
+			return {result: Promise.resolve(answered), cancel: () => undefined};
+		},
+		routes: () => undefined,
+		awaitedRoutes: createAwaitedRoutes({version: () => 0, sleep}),
+		describeStoreClock: () => undefined,
+		inboundLink: createInboundLink(1000),
+		now: () => performance.now(),
+	});
+	await new Promise<void>(resolve => {
+		listener.listen(0, host, resolve);
+	});
+	context.after(() => {
+		listener.close();
+		listener.closeAllConnections();
+	});
+	const {port} = listener.address() as AddressInfo;
+	const attempt = createAttempt(1);
+	const sentAt = performance.now();
+	const answer = new Promise(resolve => {
+		const request = sendRequest(
+			{
+				host,
+				port,
+				method: 'POST',
+				headers: [
+					'host',
+					'node',
+					'content-length',
+					'4',
+					...buildPeerHeaders(attempt, sentAt),
+				],
+			},
+			resolve,
+		);
+		request.write('bo');
+		setTimeout(() => request.end('dy'), 700);
+	});
+	await answer;
+	const {deadlineAt, targetAt} = received[0]!.call;
+	// Clocks of both ends are the same here; a head takes a few milliseconds.
+	expect(deadlineAt - attempt.call.deadlineAt).toBeLessThan(300);
+	expect(targetAt - attempt.call.targetAt).toBeLessThan(300);
+});
