--- a/test/support/malformed-messages.ts
+++ b/test/support/malformed-messages.ts
@@ -9,6 +9,7 @@
 	waitFor,
 	waitUntilReady,
 	type RelayMesh,
+	type RelayMeshOptions,
 } from './relay-mesh.js';
 import type {Cleaner} from './processes.js';
 
@@ -43,8 +44,11 @@
 const soundRequests = 12;
 
 /** Starts two nodes whose requests all run at the server of the first. */
-export async function startWithOneServer(cleaner: Cleaner): Promise<RelayMesh> {
-	const mesh = await startRelayMesh(cleaner, 2);
+export async function startWithOneServer(
+	cleaner: Cleaner,
+	options: RelayMeshOptions = {},
+): Promise<RelayMesh> {
+	const mesh = await startRelayMesh(cleaner, 2, 30, options);
 	const {server} = mesh.nodes[1]!;
 	await server.drain();
 	await waitFor(() =>
