Hold bodies in proportion to their bytes, whatever the size of their pieces

What callers saw: a server that sent one-byte chunks without end ended the node beside it, and sound requests in hand with it; uploads did the same. Each chunk was kept as an object of its own, in the buffer of a body and in each stream on its way; both have limits in bytes only. Change: pieces below 4 KB are copied into blocks before any stream holds them; a stream that is full stops its connection at once; a body of over 8192 pieces of under 32 bytes on average counts as faulty.

--- a/src/administration/listener.ts
+++ b/src/administration/listener.ts
@@ -11,6 +11,7 @@
 	type ServerResponse,
 } from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {createByteCollector} from '../http/index.js';
 import {authenticate, authorize, allTeams, roles, type Identity} from './access.js';
 import type {
 	AdministrationResponse,
@@ -162,21 +163,18 @@
 async function readBody(
 	request: IncomingMessage,
 ): Promise<Result<string, AdministrationError>> {
-	const chunks: Uint8Array[] = [];
-	let bytes = 0;
+	const collector = createByteCollector();
 	// The connection is still needed to respond to a body that is too large.
 	const chunkIterator = request.iterator({destroyOnReturn: false});
 	for await (const chunk of chunkIterator as AsyncIterable<Uint8Array>) {
-		bytes += chunk.byteLength;
-		if (bytes > maximumBodyBytes) {
+		collector.add(chunk);
+		if (collector.byteLength() > maximumBodyBytes) {
 			const message = `the body exceeds ${maximumBodyBytes} bytes; send a smaller one`;
 			return err(createError(administrationErrorKinds.bodyTooLarge, message));
 		}
-
-		chunks.push(chunk);
 	}
 
-	return ok(Buffer.concat(chunks).toString('utf8'));
+	return ok(Buffer.from(collector.take()).toString('utf8'));
 }
 
 function send(response: ServerResponse, result: HandlerResult): void {
--- a/src/http/buffer-body.ts
+++ b/src/http/buffer-body.ts
@@ -2,10 +2,10 @@
  * Reads a message's body into memory up to a limit. What is larger is refused or streamed, since a
  * faulty peer may send bytes without end.
  */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {PassThrough, pipeline} from 'node:stream';
 import type {Body} from '../call/index.js';
+import {createByteCollector, createTooFineError} from './byte-collector.js';
+import {joinPieces} from './joined-pieces.js';
 
 /**
  * Reads a message's body into memory. A body over the limit ends the message's connection.
@@ -19,22 +19,20 @@
 	limitBytes: number,
 	done: (body: Uint8Array | undefined, error: Error | undefined) => void,
 ): void {
-	const chunks: Uint8Array[] = [];
-	let bytes = 0;
+	const collector = createByteCollector();
 	message.on('data', (chunk: Uint8Array) => {
-		bytes += chunk.length;
-		if (bytes > limitBytes) {
+		collector.add(chunk);
+		if (collector.byteLength() > limitBytes) {
 			message.destroy(new Error(`the body is larger than ${limitBytes} bytes`));
-			return;
+		} else if (collector.isTooFine()) {
+			message.destroy(createTooFineError());
 		}
-
-		chunks.push(chunk);
 	});
 	message.once('end', () => {
-		done(joinChunks(chunks), undefined);
+		done(collector.take(), undefined);
 	});
 	message.once('error', (error: Error) => {
-		chunks.length = 0;
+		collector.take();
 		done(undefined, error);
 	});
 }
@@ -52,49 +50,34 @@
 	limitBytes: number,
 	done: (body: Body | undefined, error: Error | undefined) => void,
 ): void {
-	const chunks: Uint8Array[] = [];
-	let bytes = 0;
+	const collector = createByteCollector();
 	const finish = (): void => {
-		done(joinChunks(chunks), undefined);
+		done(collector.take(), undefined);
 	};
 
 	const fail = (error: Error): void => {
-		chunks.length = 0;
+		collector.take();
 		done(undefined, error);
 	};
 
 	const collect = (chunk: Uint8Array): void => {
-		chunks.push(chunk);
-		bytes += chunk.length;
-		if (bytes <= limitBytes) {
+		collector.add(chunk);
+		if (collector.isTooFine()) {
+			message.destroy(createTooFineError());
+			return;
+		}
+
+		if (collector.byteLength() <= limitBytes) {
 			return;
 		}
 
 		message.removeListener('data', collect);
 		message.removeListener('end', finish);
 		message.removeListener('error', fail);
-		done(streamRest(message, chunks), undefined);
+		done(joinPieces(message, collector.take()), undefined);
 	};
 
 	message.on('data', collect);
 	message.once('end', finish);
 	message.once('error', fail);
 }
-
-/** A truncated body destroys the stream, which cancels what is sent from it. */
-function streamRest(
-	message: IncomingMessage,
-	chunks: readonly Uint8Array[],
-): PassThrough {
-	const stream = new PassThrough();
-	for (const chunk of chunks) {
-		stream.write(chunk);
-	}
-
-	pipeline(message, stream, () => undefined);
-	return stream;
-}
-
-function joinChunks(chunks: readonly Uint8Array[]): Uint8Array {
-	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -13,6 +13,7 @@
 import {pipeline, Transform, type Readable} from 'node:stream';
 import {findHeader, isBuffered, type Body, type HeaderList} from '../call/index.js';
 import {bufferOrStream} from './buffer-body.js';
+import {joinPieces} from './joined-pieces.js';
 import {findResponseHeadFault} from './message-head.js';
 
 /** Bodies up to this size are buffered in memory, so that they can be sent again. */
@@ -269,7 +270,7 @@
 	};
 
 	if (!shouldBuffer(context)) {
-		resolveWith(response);
+		resolveWith(joinPieces(response));
 		return;
 	}
 
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -9,6 +9,8 @@
 	type ExtraHeaders,
 } from './response.js';
 export {bufferOrStream, collectBody} from './buffer-body.js';
+export {createByteCollector, type ByteCollector} from './byte-collector.js';
+export {joinPieces} from './joined-pieces.js';
 export {
 	createCallerConnections,
 	type CallerConnections,
--- a/src/relay/receive-body.ts
+++ b/src/relay/receive-body.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import type {Body} from '../call/index.js';
-import {bufferOrStream} from '../http/index.js';
+import {bufferOrStream, joinPieces} from '../http/index.js';
 import {trackBody, type InboundLink} from '../waiting/index.js';
 
 const maximumBufferedBodyBytes = 1_048_576;
@@ -37,7 +37,7 @@
 	}
 
 	if (length !== undefined && Number(length) > maximumBufferedBodyBytes) {
-		done(request);
+		done(joinPieces(request));
 		return;
 	}
 
--- a/src/table/exchange.ts
+++ b/src/table/exchange.ts
@@ -13,6 +13,7 @@
 } from 'node:http';
 import {request as requestSecure} from 'node:https';
 import {err, ok, type Result} from 'neverthrow';
+import {createByteCollector} from '../http/index.js';
 import {createTimedOut, createUnavailable, type TableError} from './table-error.js';
 
 const maximumResponseBytes = 16_777_216;
@@ -91,18 +92,15 @@
 }
 
 async function readResponse(response: IncomingMessage): Promise<string> {
-	const chunks: Uint8Array[] = [];
-	let bytes = 0;
+	const collector = createByteCollector();
 	for await (const chunk of response as AsyncIterable<Uint8Array>) {
-		bytes += chunk.byteLength;
-		if (bytes > maximumResponseBytes) {
+		collector.add(chunk);
+		if (collector.byteLength() > maximumResponseBytes) {
 			throw new Error(`the response is larger than ${maximumResponseBytes} bytes`);
 		}
-
-		chunks.push(chunk);
 	}
 
-	return Buffer.concat(chunks).toString('utf8');
+	return Buffer.from(collector.take()).toString('utf8');
 }
 
 function errorMessage(error: unknown): string {
