Refuse an upload whose body has not arrived by its deadline

What callers saw: none reported; found while bodies without end were sought at every reader. Cause: the deadline of a call began to bind once its body had arrived. An upload that stopped midway, or trickled, was kept for as long as its connection was open, and what had arrived of it held. Evidence: the new test failed before: no answer within 3 s to an upload with a deadline of 1 s. Why it works: the time until the deadline also limits the receipt. The request has not run, and is refused as such; its connection closes.

--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -192,12 +192,20 @@
 		}
 
 		const team = admission.value;
+		const deadlineAt = arrivedAt + chooseTimeout(metadata, route);
+		const timer = setTimeout(() => {
+			refuse(response, metadata, createBodyTimeoutRefusal());
+		}, deadlineAt - now());
+		response.once('close', () => {
+			clearTimeout(timer);
+		});
 		receiveBody(request, options.inboundLink, body => {
-			if (response.closed) {
+			clearTimeout(timer);
+			if (response.closed || response.headersSent) {
 				return;
 			}
 
-			const received = {metadata, route, arrivedAt, body, parent, team};
+			const received = {metadata, route, arrivedAt, deadlineAt, body, parent, team};
 			const call = createCall(request, received, activeRoutes);
 			void admitCall(response, call, received, activeRoutes);
 		});
@@ -276,9 +284,8 @@
 		received: ReceivedRequest,
 		activeRoutes: ActiveRoutes,
 	): RelayCall {
-		const {metadata, route, arrivedAt, body, parent, team} = received;
+		const {metadata, route, arrivedAt, deadlineAt, body, parent, team} = received;
 		const headers = copyEndToEndHeaders(request.rawHeaders);
-		const timeout = metadata.timeoutMilliseconds ?? Number.POSITIVE_INFINITY;
 		return {
 			requestId: metadata.requestId ?? '',
 			route: route.name,
@@ -297,7 +304,7 @@
 			targetMilliseconds: route.targetMilliseconds,
 			arrivedAt,
 			targetAt: arrivedAt + route.targetMilliseconds,
-			deadlineAt: arrivedAt + Math.min(timeout, route.timeoutMilliseconds),
+			deadlineAt,
 			maximumAttempts: route.maximumAttempts,
 			team: team?.name,
 			homes: combineHomes(route.homes, team?.homes ?? []),
@@ -413,6 +420,23 @@
 	return activeRoutes && findRoute(activeRoutes.index, host, request.url!);
 }
 
+function chooseTimeout(
+	{timeoutMilliseconds}: CallerRequestMetadata,
+	route: Route,
+): number {
+	return Math.min(
+		timeoutMilliseconds ?? Number.POSITIVE_INFINITY,
+		route.timeoutMilliseconds,
+	);
+}
+
+function createBodyTimeoutRefusal(): Refusal {
+	return createRefusal(
+		refusalKinds.deadlineExceeded,
+		'the body did not arrive before the deadline: send it faster, or allow more time',
+	);
+}
+
 function isNotRun(result: AttemptResult): boolean {
 	return result.kind === attemptResultKinds.refused && result.outcome === outcomes.notRun;
 }
@@ -439,6 +463,8 @@
 	readonly route: Route;
 	/** Monotonic time in milliseconds. */
 	readonly arrivedAt: number;
+	/** Monotonic time in milliseconds. */
+	readonly deadlineAt: number;
 	readonly body: Body;
 	/** The running request that made it, if any. */
 	readonly parent: ParentRequest | undefined;
--- a/test/process/endless-bodies.test.ts
+++ b/test/process/endless-bodies.test.ts
@@ -3,6 +3,7 @@
  * each piece, and a node that runs out of memory ends with every call in hand.
  */
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -132,3 +133,22 @@
 		expect(await countServed(mesh)).toEqual(countSound(mesh));
 	});
 }
+
+test('an upload that stops midway is refused at its deadline, as not run', async context => {
+	const {nodes} = await startWithOneServer(context);
+	const socket = connect(nodes[1]!.callersPort, host);
+	const sentAt = performance.now();
+	socket.write(
+		'POST /book/midway HTTP/1.1\r\nHost: bays.example\r\nX-Request-Id: midway\r\nX-Request-Deadline: 1000\r\nContent-Length: 1000\r\n\r\nabc',
+	);
+	let answer = '';
+	socket.setEncoding('utf8');
+	socket.on('data', (text: string) => {
+		answer += text;
+	});
+	await Promise.race([once(socket, 'close'), sleep(3000)]);
+	socket.destroy();
+	expect(answer.slice(0, 12)).toEqual('HTTP/1.1 503');
+	expect(answer.toLowerCase()).toInclude('connection: close');
+	expect(performance.now() - sentAt).toBeLessThan(1500);
+});
