--- a/src/command/administration-client.ts
+++ b/src/command/administration-client.ts
@@ -7,10 +7,12 @@
 import {request as requestHttps} from 'node:https';
 import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
+import {collectBody} from '../http/index.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
 const requestTimeoutMilliseconds = 15_000;
 const maximumChangeAttempts = 3;
+const maximumResponseBytes = 16_777_216;
 
 /** Address of the API and token to authenticate with. */
 export type AdministrationTarget = {
@@ -117,15 +119,13 @@
 			resolve(err(createUnreachableError(target, error)));
 		});
 		outgoing.on('response', response => {
-			const chunks: Uint8Array[] = [];
-			response.on('data', (chunk: Uint8Array) => {
-				chunks.push(chunk);
-			});
-			response.on('error', error => {
-				resolve(err(createUnreachableError(target, error)));
-			});
-			response.on('end', () => {
-				const text = Buffer.concat(chunks).toString('utf8');
+			collectBody(response, maximumResponseBytes, (whole, error) => {
+				if (whole === undefined) {
+					resolve(err(createUnreachableError(target, error ?? new Error('cut off'))));
+					return;
+				}
+
+				const text = Buffer.from(whole).toString('utf8');
 				resolve(ok({status: response.statusCode ?? 0, text}));
 			});
 		});
--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -41,6 +41,7 @@
 import {combineHomes} from '../teams/index.js';
 import type {InboundLink} from '../waiting/index.js';
 import type {RelayCall} from './call.js';
+import {chooseTimeout, createBodyTimeoutRefusal, limitStream} from './call-deadline.js';
 import type {AdmitCaller, ReturnAllowance, SpendAllowance} from './caller-admission.js';
 import type {RunRelayCall} from './call-runner.js';
 import type {ParentRequest, RelayGate} from './gate-types.js';
@@ -420,44 +421,10 @@
 	return activeRoutes && findRoute(activeRoutes.index, host, request.url!);
 }
 
-function chooseTimeout(
-	{timeoutMilliseconds}: CallerRequestMetadata,
-	route: Route,
-): number {
-	return Math.min(
-		timeoutMilliseconds ?? Number.POSITIVE_INFINITY,
-		route.timeoutMilliseconds,
-	);
-}
-
-function createBodyTimeoutRefusal(): Refusal {
-	return createRefusal(
-		refusalKinds.deadlineExceeded,
-		'the body did not arrive before the deadline: send it faster, or allow more time',
-	);
-}
-
 function isNotRun(result: AttemptResult): boolean {
 	return result.kind === attemptResultKinds.refused && result.outcome === outcomes.notRun;
 }
 
-/** Breaks off a streamed body at the deadline of its call; a faulty server may send without end. */
-function limitStream(body: Body, milliseconds: number): void {
-	if (isBuffered(body)) {
-		return;
-	}
-
-	const timer = setTimeout(
-		() => {
-			body.destroy(new Error('the body did not end before the deadline'));
-		},
-		Math.max(0, milliseconds),
-	);
-	body.once('close', () => {
-		clearTimeout(timer);
-	});
-}
-
 type ReceivedRequest = {
 	readonly metadata: CallerRequestMetadata;
 	readonly route: Route;
--- a/src/relay/gate-types.ts
+++ b/src/relay/gate-types.ts
@@ -11,7 +11,7 @@
 import type {InboundLink} from '../waiting/index.js';
 import type {RetryPolicy} from '../repeats/index.js';
 import type {RelayAttempt, RelayCall} from './call.js';
-import type {CrashQuarantine} from './crash-quarantine.js';
+import type {QuarantineOfGate} from './gate-quarantine.js';
 import type {PlatformProtocol} from './platform-protocol.js';
 
 /** A request for which a gate is asked to estimate wait and duration. */
@@ -51,10 +51,7 @@
 	/** Limit on requests to the health path in any second. */
 	readonly probesPerSecond: number;
 	/** What is known of requests that crash servers. */
-	readonly quarantine: Pick<
-		CrashQuarantine,
-		'findVerdict' | 'recordSuspicion' | 'recordCrash' | 'recordAnswer' | 'onProof'
-	>;
+	readonly quarantine: QuarantineOfGate;
 	readonly retryPolicy: RetryPolicy;
 	/** Gates of the service, this one included. */
 	readonly countGates: () => number;
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -22,14 +22,12 @@
 	type AttemptResult,
 	type Refusal,
 } from '../call/index.js';
-import {isListening} from '../http/index.js';
 import {
 	createFailureRate,
 	currentFailureShare,
 	recordAttemptResult,
 	type FailureRate,
 } from '../placing/index.js';
-import {crashVerdicts} from '../quarantine/index.js';
 import {
 	chooseRetryAfter,
 	estimateTransferTime,
@@ -43,11 +41,9 @@
 	type RequestEnd,
 } from '../waiting/index.js';
 import {refuseWhereClosed} from './closed-gate.js';
-import {createCrashResult, createQuarantineRefusal} from './crash-result.js';
-import {createCrashWatch} from './crash-watch.js';
 import {createEntry, describeEntry, isParentOf, type GateEntry} from './gate-entry.js';
+import {createGateQuarantine, mayHaveCrashed} from './gate-quarantine.js';
 import {createGateQueue} from './gate-queue.js';
-import type {RelayAttempt} from './call.js';
 import type {RelayGate, RelayGateOptions} from './gate-types.js';
 import {createLocalServer} from './local-server.js';
 import {createRetryAllowance} from './retry-allowance.js';
@@ -93,7 +89,7 @@
 		hasAnnouncedLeaving: options.hasAnnouncedLeaving,
 		onLeaving: options.onServerLeaving,
 		onNewProcess({warmupMilliseconds}) {
-			crashWatch.recordNewProcess();
+			gateQuarantine.recordNewProcess();
 			client.discardConnections();
 			failureRate = createFailureRate();
 			queue.resetServer(warmupMilliseconds);
@@ -103,21 +99,20 @@
 		onRequestRate: queue.changeRequestRate,
 		onCold: queue.recordCold,
 	});
-	const crashWatch = createCrashWatch({
-		isListening: async () => isListening(server.host, server.port),
-		listRunning: () =>
-			new Map(
-				[...entries]
-					.filter(([, {exchange}]) => exchange !== undefined)
-					.map(([key, {attempt}]) => [key, attempt.call]),
-			),
-		recordCrash: options.quarantine.recordCrash,
+	const gateQuarantine = createGateQuarantine({
+		quarantine: options.quarantine,
+		server,
+		entries,
+		refuseWaiting(entry, refusal) {
+			if (queue.withdraw(entry.key)) {
+				refuse(entry, refusal, {});
+			}
+		},
 		onCrash() {
 			markUnreachable('the server crashed', unreachableBackoffMilliseconds);
 		},
 		now,
 	});
-	options.quarantine.onProof(refuseProven);
 	const speedProbe = createSpeedProbe({
 		probe: async path => client.probe(describeTarget(), path),
 		healthPath: options.healthPath,
@@ -182,9 +177,9 @@
 
 		entries.set(entry.key, entry);
 		const {call} = entry.attempt;
-		options.quarantine.recordSuspicion(entry.attempt.suspectDigests ?? []);
-		if (options.quarantine.findVerdict(call) === crashVerdicts.proven) {
-			refuse(entry, createQuarantineRefusal(), {});
+		const quarantineRefusal = gateQuarantine.findRefusal(entry.attempt);
+		if (quarantineRefusal) {
+			refuse(entry, quarantineRefusal, {});
 			return;
 		}
 
@@ -213,10 +208,6 @@
 		offer(entry);
 	}
 
-	function mustRunAlone({call}: RelayAttempt): boolean {
-		return options.quarantine.findVerdict(call) === crashVerdicts.suspect;
-	}
-
 	function offer(entry: GateEntry): void {
 		const decision = queue.offer(entry.request);
 		if (decision.outcome === offerOutcomes.tooLate) {
@@ -299,31 +290,13 @@
 		};
 
 		void entry.exchange.result.then(async result => {
-			const isSuspicious =
-				result.kind === serverResultKinds.lost &&
-				result.metadata === undefined &&
-				!entry.cancelled;
-			const crash = isSuspicious ? await crashWatch.check(entry.key) : undefined;
-			const reason = `the server crashed (${result.reason})`;
-			const ended = crash && {...result, result: createCrashResult(crash), reason};
-			handleResult(entry, ended ?? result, stopTimer);
+			const examined = mayHaveCrashed(entry, result)
+				? await gateQuarantine.examine(entry, result)
+				: result;
+			handleResult(entry, examined, stopTimer);
 		});
 	}
 
-	/** Refuses the waiting requests that were proven to crash servers. */
-	function refuseProven(): void {
-		for (const key of queue.state().waiting.keys()) {
-			const entry = entries.get(key);
-			if (
-				entry &&
-				options.quarantine.findVerdict(entry.attempt.call) === crashVerdicts.proven
-			) {
-				queue.withdraw(key);
-				refuse(entry, createQuarantineRefusal(), {});
-			}
-		}
-	}
-
 	function handleResult(
 		entry: GateEntry,
 		result: ServerResult,
@@ -372,13 +345,9 @@
 
 		if (result.notice) {
 			localServer.handleNotice(result.notice, entry.serverId);
-			crashWatch.recordAnswer(entry.startedAt);
-		}
-
-		if (isAnswered(result)) {
-			options.quarantine.recordAnswer(entry.attempt.call);
 		}
 
+		gateQuarantine.recordResult(entry, result);
 		if (entry.cancelled) {
 			return;
 		}
@@ -454,7 +423,7 @@
 				settleResult = resolve;
 			});
 			const entry = createEntry(attempt, now(), settleResult, () =>
-				mustRunAlone(attempt),
+				gateQuarantine.mustRunAlone(attempt),
 			);
 			admit(entry);
 			return {
@@ -525,11 +494,6 @@
 	};
 }
 
-/** Whether the server ran the request to a response that has arrived in full. */
-function isAnswered({result}: ServerResult): boolean {
-	return result.kind === attemptResultKinds.answered && isBuffered(result.body);
-}
-
 /** Finds the body of a response that is still being received. */
 function findStream(result: AttemptResult): Readable | undefined {
 	return result.kind === attemptResultKinds.answered && !isBuffered(result.body)
