Leave a gate that has just started one retry

Change: one retry is admitted in the first window besides those that the ratio allows, or the gate's part of the slack if that is less. So a series of restarts adds one retry for each of them at most.

--- a/src/repeats/retry-budget.ts
+++ b/src/repeats/retry-budget.ts
@@ -95,9 +95,10 @@
 	now: number,
 ): boolean {
 	dropBefore(budget, now - policy.windowMilliseconds);
+	const share = policy.slack / Math.max(1, gates);
 	// An earlier life of the gate may have spent the slack of the window in which it ended.
 	const isWholeWindowKnown = now - budget.knownSince >= policy.windowMilliseconds;
-	const slack = isWholeWindowKnown ? policy.slack / Math.max(1, gates) : 0;
+	const slack = isWholeWindowKnown ? share : Math.min(share, 1 / usedShare);
 	const allowed = usedShare * (policy.ratio * budget.firstAttempts.length + slack);
 	return budget.retries.length + reserved + 1 <= allowed;
 }
