Hold a request for the cause of crashes whoever sends it only if two callers' requests crashed servers

Cause: a request was proven with and without its caller at once. Three crashes of one caller's request within a moment left no time for another caller's answer to clear the entry without the caller, and the other's sound request would have been refused for an hour. Why it works: the entry that stands for all callers takes crashes of two of them for its proof. Until then the request of another caller runs alone, and an answer clears it.

--- a/src/quarantine/crash-history.ts
+++ b/src/quarantine/crash-history.ts
@@ -25,11 +25,18 @@
 	readonly id: string;
 	/** Whether the request was the only one that ran. */
 	readonly isAlone: boolean;
+	/**
+	 * Who sent the request, if the digest stands for several senders. Then the proof takes crashes of two of them, as
+	 * the cause may lie with one.
+	 */
+	readonly sender?: string;
 };
 
 type Entry = {
 	/** Ids of the first crashes, as many as make a suspect. */
 	readonly crashes: Set<string>;
+	/** The first senders, as many as a proof takes. */
+	readonly senders: Set<string>;
 	/** Monotonic milliseconds; undefined without a proof. */
 	readonly provenUntil: number | undefined;
 };
@@ -47,6 +54,8 @@
 	readonly entries: Map<string, Entry>;
 };
 
+const sendersOfProof = 2;
+
 export const defaultCrashHistoryLimits: CrashHistoryLimits = {
 	entries: 2048,
 	crashesOfSuspect: 2,
@@ -112,19 +121,25 @@
 		return false;
 	}
 
-	if (verdict === crashVerdicts.suspect && crash.isAlone) {
-		recordProof(history, digest, now);
-		return true;
-	}
-
-	const known = history.entries.get(digest);
-	const crashes = known?.crashes ?? new Set();
+	const {crashes, senders, provenUntil} = history.entries.get(digest) ?? createEntry();
 	if (crashes.size < history.limits.crashesOfSuspect) {
 		crashes.add(crash.id);
 	}
 
-	store(history, digest, {crashes, provenUntil: known?.provenUntil});
-	return false;
+	if (crash.sender !== undefined && senders.size < sendersOfProof) {
+		senders.add(crash.sender);
+	}
+
+	store(history, digest, {crashes, senders, provenUntil});
+	const isProof =
+		verdict === crashVerdicts.suspect &&
+		crash.isAlone &&
+		(crash.sender === undefined || senders.size >= sendersOfProof);
+	if (isProof) {
+		recordProof(history, digest, now);
+	}
+
+	return isProof;
 }
 
 /**
@@ -135,9 +150,9 @@
  * @param now monotonic milliseconds
  */
 export function recordProof(history: CrashHistory, digest: string, now: number): void {
-	const crashes = history.entries.get(digest)?.crashes ?? new Set();
+	const entry = history.entries.get(digest) ?? createEntry();
 	const provenUntil = now + history.limits.provenMilliseconds;
-	store(history, digest, {crashes, provenUntil});
+	store(history, digest, {...entry, provenUntil});
 }
 
 /**
@@ -158,7 +173,7 @@
 
 	const {crashesOfSuspect} = history.limits;
 	const crashes = Array.from({length: crashesOfSuspect}, (_, index) => `told ${index}`);
-	store(history, digest, {crashes: new Set(crashes), provenUntil: undefined});
+	store(history, digest, {...createEntry(), crashes: new Set(crashes)});
 }
 
 /**
@@ -174,6 +189,10 @@
 	}
 }
 
+function createEntry(): Entry {
+	return {crashes: new Set(), senders: new Set(), provenUntil: undefined};
+}
+
 function store(history: CrashHistory, digest: string, entry: Entry): void {
 	const {entries, limits} = history;
 	entries.delete(digest);
--- a/src/relay/crash-quarantine.ts
+++ b/src/relay/crash-quarantine.ts
@@ -19,6 +19,7 @@
 	recordCrash,
 	recordProof,
 	recordSuspicion,
+	type Crash,
 	type CrashVerdict,
 } from '../quarantine/index.js';
 import type {RelayCall} from './call.js';
@@ -51,6 +52,14 @@
 	readonly state: () => {readonly suspects: number; readonly proven: number};
 };
 
+/** Hexadecimal digests of a call. */
+type CallDigests = {
+	/** The same whoever sends it. */
+	readonly forAll: string;
+	/** The same for its caller only. */
+	readonly forCaller: string;
+};
+
 export type CrashQuarantineMembership = Pick<
 	Membership,
 	'announce' | 'announcements' | 'onAnnouncement'
@@ -70,7 +79,7 @@
 const crashLifetimeMilliseconds = 60_000;
 const digestBytes = 12;
 const digestPattern = /^[\da-f]{24}$/v;
-const digestsPerAnnouncement = 48;
+const requestsPerAnnouncement = 24;
 /** Announcements of crashes that are out at the same time, to leave room for others. */
 const maximumAnnouncements = 96;
 const noPayload = new Uint8Array(0);
@@ -105,17 +114,32 @@
 		);
 	}
 
-	function announceCrash(crashId: string, digests: readonly string[]): void {
-		for (let start = 0; start < digests.length; start += digestsPerAnnouncement) {
-			const part = digests.slice(start, start + digestsPerAnnouncement);
+	function announceCrash(crashId: string, running: readonly CallDigests[]): void {
+		for (let start = 0; start < running.length; start += requestsPerAnnouncement) {
+			const part = running.slice(start, start + requestsPerAnnouncement);
+			const text = part.map(({forAll, forCaller}) => forAll + forCaller).join('');
 			announce(
 				`${crashPrefix}${crashId}#${start}`,
-				Buffer.from(part.join(''), 'hex'),
+				Buffer.from(text, 'hex'),
 				crashLifetimeMilliseconds,
 			);
 		}
 	}
 
+	/** Returns the digests that the crash proves. */
+	function addCrash({forAll, forCaller}: CallDigests, crash: Crash): string[] {
+		const proven = [];
+		if (recordCrash(history, forAll, {...crash, sender: forCaller}, now())) {
+			proven.push(forAll);
+		}
+
+		if (recordCrash(history, forCaller, crash, now())) {
+			proven.push(forCaller);
+		}
+
+		return proven;
+	}
+
 	function notifyProof(): void {
 		for (const listener of listeners) {
 			listener();
@@ -135,8 +159,8 @@
 
 		if (id.startsWith(crashPrefix)) {
 			const crashId = id.slice(crashPrefix.length, id.lastIndexOf('#'));
-			for (const digest of readDigests(payload)) {
-				recordCrash(history, digest, {id: crashId, isAlone: false}, now());
+			for (const digests of readDigests(payload)) {
+				addCrash(digests, {id: crashId, isAlone: false});
 			}
 		}
 	}
@@ -147,18 +171,20 @@
 				return crashVerdicts.sound;
 			}
 
-			const [forAll, forCaller] = digestCall(call).map(digest =>
-				findCrashVerdict(history, digest, now()),
-			);
-			return isStricter(forAll!, forCaller!) ? forAll! : forCaller!;
+			const digests = digestCall(call);
+			const forAll = findCrashVerdict(history, digests.forAll, now());
+			const forCaller = findCrashVerdict(history, digests.forCaller, now());
+			return isStricter(forAll, forCaller) ? forAll : forCaller;
 		},
-		identify: call => digestCall(call)[0],
+		identify: call => digestCall(call).forAll,
 		listSuspectDigests(call) {
-			return history.entries.size === 0
-				? []
-				: digestCall(call).filter(
-						digest => findCrashVerdict(history, digest, now()) === crashVerdicts.suspect,
-					);
+			if (history.entries.size === 0) {
+				return [];
+			}
+
+			return Object.values(digestCall(call)).filter(
+				digest => findCrashVerdict(history, digest, now()) === crashVerdicts.suspect,
+			);
 		},
 		recordSuspicion(digests) {
 			for (const digest of digests) {
@@ -171,8 +197,8 @@
 			crashCount += 1;
 			const crashId = `${options.nodeName}/${crashCount}`;
 			const crash = {id: crashId, isAlone: running.length === 1};
-			const digests = [...new Set(running.flatMap(call => digestCall(call)))];
-			const proven = digests.filter(digest => recordCrash(history, digest, crash, now()));
+			const digests = running.map(call => digestCall(call));
+			const proven = digests.flatMap(requested => addCrash(requested, crash));
 			const isProof = proven.length > 0;
 			log.warn('server crashed', {
 				crash: crashId,
@@ -194,20 +220,18 @@
 		recordReport(call, {crashId, isProof}) {
 			const digests = digestCall(call);
 			if (isProof) {
-				recordProof(history, digests[1], now());
+				recordProof(history, digests.forCaller, now());
 				return;
 			}
 
-			for (const digest of digests) {
-				recordCrash(history, digest, {id: crashId, isAlone: false}, now());
-			}
+			addCrash(digests, {id: crashId, isAlone: false});
 		},
 		recordAnswer(call) {
 			if (history.entries.size === 0) {
 				return;
 			}
 
-			for (const digest of digestCall(call)) {
+			for (const digest of Object.values(digestCall(call))) {
 				clearSuspicion(history, digest, now());
 			}
 		},
@@ -241,8 +265,8 @@
 	};
 }
 
-/** Digests without and with the caller. A body that is streamed counts by its length. */
-function digestCall(call: RelayCall): [string, string] {
+/** Digests a call. A body that is streamed counts by its length. */
+function digestCall(call: RelayCall): CallDigests {
 	const {service, method, path, body, originService, team = ''} = call;
 	const request = createHash('sha256');
 	request.update(JSON.stringify([service, method, path]));
@@ -253,7 +277,7 @@
 	const forCaller = createHash('sha256');
 	forCaller.update(forAll);
 	forCaller.update(JSON.stringify([originService, team]));
-	return [shorten(forAll), shorten(forCaller.digest())];
+	return {forAll: shorten(forAll), forCaller: shorten(forCaller.digest())};
 }
 
 function shorten(digest: Uint8Array): string {
@@ -267,11 +291,13 @@
 	);
 }
 
-function readDigests(payload: Uint8Array): string[] {
-	const bytes = Buffer.from(payload);
-	const digests: string[] = [];
-	for (let start = 0; start + digestBytes <= bytes.length; start += digestBytes) {
-		digests.push(bytes.subarray(start, start + digestBytes).toString('hex'));
+function readDigests(payload: Uint8Array): CallDigests[] {
+	const text = Buffer.from(payload).toString('hex');
+	const digests: CallDigests[] = [];
+	const length = 2 * digestBytes;
+	for (let start = 0; start + 2 * length <= text.length; start += 2 * length) {
+		const forAll = text.slice(start, start + length);
+		digests.push({forAll, forCaller: text.slice(start + length, start + 2 * length)});
 	}
 
 	return digests;
