--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -128,7 +128,7 @@
 
 type RecordedResponse = Pick<
 	SentRequest,
-	'status' | 'answeredId' | 'seal' | 'body' | 'outcome'
+	'status' | 'answeredId' | 'seal' | 'body' | 'outcome' | 'refusal'
 > & {
 	readonly isConnectionRefused: boolean;
 };
@@ -178,6 +178,7 @@
 						answeredId: headers['x-request-id'] as string | undefined,
 						seal: headers['x-response-seal'] as string | undefined,
 						outcome: headers['foxtailtide-outcome'] as string | undefined,
+						refusal: headers['foxtailtide-refusal'] as string | undefined,
 						body,
 					});
 				});
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -19,6 +19,8 @@
 	readonly body: string;
 	/** Execution outcome that the node reports: ran, not-run or unknown. */
 	readonly outcome: string | undefined;
+	/** Kind of the refusal that the node reports. */
+	readonly refusal?: string | undefined;
 	/** Version of the configuration that added the route; 0 for the routes of the first version. */
 	readonly sinceVersion: number;
 	/** Number of restarts of the node before the request. */
@@ -73,6 +75,9 @@
 	readonly drainMilliseconds: number;
 	/** Time from the first response with a limit until it holds. */
 	readonly limitContactMilliseconds: number;
+	/** Retries that servers may get in any ten seconds: for each request, and in addition. */
+	readonly retryRatio: number;
+	readonly retrySlack: number;
 	/** Time until a stored configuration is active at every node. */
 	readonly propagationMilliseconds: number;
 	/** Time after a disturbance until the time bounds apply again. */
@@ -86,6 +91,8 @@
 /** A broken connection, and the errors that a node sends in place of a server's response. */
 const cutStatuses: ReadonlySet<number> = new Set([0, 500, 502, 504]);
 const notFoundStatus = 404;
+const retryWindowMilliseconds = 10_000;
+const retryStepMilliseconds = 250;
 const limitWindowMilliseconds = 4000;
 const limitTolerance = 1.5;
 const limitSlack = 5;
@@ -104,6 +111,7 @@
 		...evidence.requests.flatMap(request =>
 			checkRuns(request, runsByRequest.get(request.id) ?? [], bounds),
 		),
+		...checkRetries(evidence, bounds),
 		...checkDrains(evidence, bounds),
 		...checkLimits(evidence, bounds),
 		...checkConfiguration(evidence, bounds),
@@ -124,6 +132,10 @@
 }
 
 function checkResponse(request: SentRequest): string[] {
+	if (request.refusal === 'quarantined') {
+		return [`quarantined: ${request.id} is sound and was refused`];
+	}
+
 	if (request.status !== 200) {
 		return [];
 	}
@@ -155,6 +167,37 @@
 	return findings;
 }
 
+/** All requests of a run are for one service. */
+function checkRetries({requests, runs}: Evidence, bounds: Bounds): string[] {
+	const seen = new Set<string>();
+	const retries: number[] = [];
+	for (const {id, at} of runs.toSorted((left, right) => left.at - right.at)) {
+		if (seen.has(id)) {
+			retries.push(at);
+		}
+
+		seen.add(id);
+	}
+
+	const sent = requests.map(({sentAt}) => sentAt);
+	const count = (times: readonly number[], from: number): number =>
+		times.filter(at => at >= from && at < from + retryWindowMilliseconds).length;
+	const findings: string[] = [];
+	const last = Math.max(0, ...retries);
+	for (let from = 0; from <= last; from += retryStepMilliseconds) {
+		const got = count(retries, from);
+		const earlier = [0, 0.5, 1].map(share =>
+			count(sent, from - share * retryWindowMilliseconds),
+		);
+		const allowed = bounds.retryRatio * Math.max(...earlier) + bounds.retrySlack;
+		if (got > allowed) {
+			findings.push(`retries: ${got} from ${from} ms on, ${allowed} allowed`);
+		}
+	}
+
+	return findings.slice(0, 1);
+}
+
 function checkDrains({drains, runs}: Evidence, bounds: Bounds): string[] {
 	return drains.flatMap(({server, acknowledgedAt}) =>
 		runs
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -46,6 +46,8 @@
 	maximumAttempts: 2,
 	drainMilliseconds,
 	limitContactMilliseconds: 3000,
+	retryRatio: 0.2,
+	retrySlack: 58,
 	propagationMilliseconds: 2000,
 	settleMilliseconds: 3000,
 	overdueMilliseconds: 500,
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -13,6 +13,8 @@
 	maximumAttempts: 2,
 	drainMilliseconds: 2000,
 	limitContactMilliseconds: 3000,
+	retryRatio: 0.2,
+	retrySlack: 58,
 	propagationMilliseconds: 2000,
 	settleMilliseconds: 3000,
 	overdueMilliseconds: 500,
@@ -69,6 +71,21 @@
 		'mixed',
 	],
 	['a second run of a non-idempotent request is found', {runs: [run, run]}, 'twice'],
+	[
+		'a sound request that is refused as one that crashes servers is found',
+		{requests: [{...refused, refusal: 'quarantined'}], runs: []},
+		'quarantined',
+	],
+	[
+		'retries beyond the limit over all servers are found',
+		{
+			runs: Array.from({length: 60}, (_, index) => [
+				{...run, id: `retried-${index}`},
+				{...run, id: `retried-${index}`, server: 'server-1', at: run.at + 100},
+			]).flat(),
+		},
+		'retries',
+	],
 	['a refusal of a request that ran is found', {requests: [refused]}, 'not run'],
 	[
 		'a request sent to a drained server is found',
