--- a/src/relay/crash-quarantine.ts
+++ b/src/relay/crash-quarantine.ts
@@ -265,8 +265,22 @@
 	};
 }
 
-/** Digests a call. A body that is streamed counts by its length. */
+/** Each node asks several times about a call. */
+const knownDigests = new WeakMap<RelayCall, CallDigests>();
+
 function digestCall(call: RelayCall): CallDigests {
+	const known = knownDigests.get(call);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const digests = computeDigests(call);
+	knownDigests.set(call, digests);
+	return digests;
+}
+
+/** Digests a call. A body that is streamed counts by its length. */
+function computeDigests(call: RelayCall): CallDigests {
 	const {service, method, path, body, originService, team = ''} = call;
 	const request = createHash('sha256');
 	request.update(JSON.stringify([service, method, path]));
