Keep the news of crashes small, and leave room for other announcements

Seen by reading: a crash told 24 bytes of each request that ran; many servers that crash at once could have delayed other gossip, whose bytes are limited, and filled the announcements that a node keeps, so that departures of servers would not be told. 16 bytes of each request now, separate bounds for crashes and proofs, and room for twice as many.

--- a/src/relay/crash-quarantine.ts
+++ b/src/relay/crash-quarantine.ts
@@ -77,10 +77,10 @@
 const proofPrefix = 'crashes-servers:';
 /** Longer than gossip takes; a restarted node relies on the gates, which know the crashes too. */
 const crashLifetimeMilliseconds = 60_000;
-const digestBytes = 12;
-const digestPattern = /^[\da-f]{24}$/v;
-const requestsPerAnnouncement = 24;
-/** Announcements of crashes that are out at the same time, to leave room for others. */
+const digestBytes = 8;
+const digestPattern = /^[\da-f]{16}$/v;
+const requestsPerAnnouncement = 36;
+/** Announcements that are out at the same time, of crashes and of proofs, to leave room for others. */
 const maximumAnnouncements = 96;
 const noPayload = new Uint8Array(0);
 
@@ -97,32 +97,26 @@
 	let membership: CrashQuarantineMembership | undefined;
 	let crashCount = 0;
 
-	function announce(id: string, payload: Uint8Array, lifetime: number): void {
-		const own = membership
-			?.announcements()
-			.filter(known => known.startsWith(crashPrefix) || known.startsWith(proofPrefix));
+	function announce(prefix: string, name: string, payload: Uint8Array): void {
+		const own = membership?.announcements().filter(id => id.startsWith(prefix));
 		if (own !== undefined && own.length < maximumAnnouncements) {
-			membership!.announce(id, payload, lifetime);
+			const lifetime =
+				prefix === proofPrefix
+					? defaultCrashHistoryLimits.provenMilliseconds
+					: crashLifetimeMilliseconds;
+			membership!.announce(`${prefix}${name}`, payload, lifetime);
 		}
 	}
 
 	function announceProof(digest: string): void {
-		announce(
-			`${proofPrefix}${digest}`,
-			noPayload,
-			defaultCrashHistoryLimits.provenMilliseconds,
-		);
+		announce(proofPrefix, digest, noPayload);
 	}
 
 	function announceCrash(crashId: string, running: readonly CallDigests[]): void {
 		for (let start = 0; start < running.length; start += requestsPerAnnouncement) {
 			const part = running.slice(start, start + requestsPerAnnouncement);
 			const text = part.map(({forAll, forCaller}) => forAll + forCaller).join('');
-			announce(
-				`${crashPrefix}${crashId}#${start}`,
-				Buffer.from(text, 'hex'),
-				crashLifetimeMilliseconds,
-			);
+			announce(crashPrefix, `${crashId}#${start}`, Buffer.from(text, 'hex'));
 		}
 	}
 
--- a/src/relay/membership-parameters.ts
+++ b/src/relay/membership-parameters.ts
@@ -12,6 +12,8 @@
 	settleMilliseconds: 100,
 	joinIntervalMilliseconds: 200,
 	gossipIntervalMilliseconds: 100,
+	/** Of servers that leave, of crashes and of requests that cause them. */
+	maximumAnnouncements: 512,
 	/** Limit on membership traffic. */
 	bytesPerSecond: 8192,
 	burstBytes: 16_384,
