Bear a streamed body that is cut off before anybody reads it

The stream of joined pieces had no listener for its error until a server or a caller was found for it; a body over 1 MB that was cut off earlier ended the node by an uncaught exception. Why it works: the stream bears its error; who reads it later finds it destroyed, as with the stream before.

--- a/src/http/joined-pieces.ts
+++ b/src/http/joined-pieces.ts
@@ -76,6 +76,8 @@
 		}
 	}
 
+	// A body may be cut off before anybody reads it; whoever reads it later finds it destroyed.
+	stream.on('error', () => undefined);
 	message.on('data', collect);
 	message.once('end', () => {
 		if (collector.byteLength() > 0) {
