--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -8,8 +8,7 @@
 import {formatIngress} from '../call/index.js';
 import type {EventLog} from '../log/index.js';
 import {createMeasuringBudget} from '../measuring/index.js';
-import {isIsolated, isPoller, type Member, type Membership} from '../membership/index.js';
-import {crashVerdicts} from '../quarantine/index.js';
+import {isIsolated, isPoller, type Membership} from '../membership/index.js';
 import {createInboundLink} from '../waiting/index.js';
 import type {AnnouncementHandler, PlatformAdapter} from './adapter.js';
 import {createAwaitedRoutes} from './awaited-routes.js';
@@ -17,6 +16,7 @@
 import {createRelayRunner} from './call-runner.js';
 import {createCrashQuarantine} from './crash-quarantine.js';
 import {createCallerListener, type CallerListener} from './caller-listener.js';
+import {countGates} from './count-gates.js';
 import {createRelayGate} from './gate.js';
 import type {RelayGate} from './gate-types.js';
 import {createNodeAllowances} from './node-allowances.js';
@@ -72,11 +72,6 @@
 	readonly close: () => void;
 };
 
-/** Counts the gates of a service; one that is held dead may only be cut off, and go on. */
-function countGates(members: readonly Member[], service: string): number {
-	return members.filter(member => member.service === service).length;
-}
-
 /**
  * Creates the components; none of them listens yet.
  *
@@ -229,10 +224,7 @@
 		socket: querySocket,
 		membersOf,
 		isEvacuated: evacuations.isEvacuated,
-		findSuspectKey: call =>
-			quarantine.findVerdict(call) === crashVerdicts.suspect
-				? quarantine.identify(call)
-				: undefined,
+		findSuspectKey: quarantine.findSuspectKey,
 		costs: settings.costs,
 		roundTrips,
 		leaving: leavingDomain,
--- a/src/relay/crash-quarantine.ts
+++ b/src/relay/crash-quarantine.ts
@@ -33,8 +33,8 @@
 
 export type CrashQuarantine = {
 	readonly findVerdict: (call: RelayCall) => CrashVerdict;
-	/** The same for calls that differ in nothing but their caller. */
-	readonly identify: (call: RelayCall) => string;
+	/** Finds a key by which all nodes choose the same gate for a suspect; undefined for other calls. */
+	readonly findSuspectKey: (call: RelayCall) => string | undefined;
 	/** Lists the digests by which a call is a suspect, for the gate that is to run it alone. */
 	readonly listSuspectDigests: (call: RelayCall) => readonly string[];
 	/** Records what the ingress of an attempt knows; its news may come later. */
@@ -159,18 +159,21 @@
 		}
 	}
 
-	return {
-		findVerdict(call) {
-			if (history.entries.size === 0) {
-				return crashVerdicts.sound;
-			}
+	function findVerdict(call: RelayCall): CrashVerdict {
+		if (history.entries.size === 0) {
+			return crashVerdicts.sound;
+		}
 
-			const digests = digestCall(call);
-			const forAll = findCrashVerdict(history, digests.forAll, now());
-			const forCaller = findCrashVerdict(history, digests.forCaller, now());
-			return isStricter(forAll, forCaller) ? forAll : forCaller;
-		},
-		identify: call => digestCall(call).forAll,
+		const digests = digestCall(call);
+		const forAll = findCrashVerdict(history, digests.forAll, now());
+		const forCaller = findCrashVerdict(history, digests.forCaller, now());
+		return isStricter(forAll, forCaller) ? forAll : forCaller;
+	}
+
+	return {
+		findVerdict,
+		findSuspectKey: call =>
+			findVerdict(call) === crashVerdicts.suspect ? digestCall(call).forAll : undefined,
 		listSuspectDigests(call) {
 			if (history.entries.size === 0) {
 				return [];
--- a/src/waiting/cold-server.ts
+++ b/src/waiting/cold-server.ts
@@ -10,7 +10,7 @@
 	requiredDurationShare,
 	type GateRequest,
 } from './gate-request.js';
-import type {QueueState} from './queue.js';
+import type {QueueState} from './queue-state.js';
 import {estimateNominalDuration} from './server-speed.js';
 import {changeColdLimit, estimateStartDelay} from './start-rate.js';
 
--- a/src/waiting/index.ts
+++ b/src/waiting/index.ts
@@ -15,7 +15,6 @@
 export {
 	assignSlots,
 	changeSlots,
-	createQueue,
 	estimateServiceTime,
 	estimateWait,
 	finishRequest,
@@ -25,10 +24,10 @@
 	withdrawRequest,
 	type OfferOutcome,
 	type OfferResult,
-	type QueueState,
 	type RequestEnd,
 	type SlotAssignment,
 } from './queue.js';
+export {createQueue, type QueueState} from './queue-state.js';
 export {
 	findHopeless,
 	recordCold,
--- a/src/waiting/queue.ts
+++ b/src/waiting/queue.ts
@@ -8,19 +8,14 @@
  * can no longer meet their latency target.
  */
 import {estimateRateDelay, updateColdLimit} from './cold-server.js';
-import {
-	chooseLimit,
-	createConcurrencyProfile,
-	recordSample,
-	type ConcurrencyProfile,
-} from './concurrency-limit.js';
+import {chooseLimit, recordSample} from './concurrency-limit.js';
 import {
 	compareRequests,
 	requiredDurationShare,
 	type GateRequest,
 } from './gate-request.js';
+import type {QueueState, RunningRequest} from './queue-state.js';
 import {
-	createServerSpeed,
 	currentSlowdown,
 	estimateDeferral,
 	estimateDuration,
@@ -29,38 +24,12 @@
 	needsReportForEstimate,
 	recordDuration,
 	shouldDefer,
-	type ServerSpeed,
 } from './server-speed.js';
-import {createStartRate, mayStart, recordStart, type StartRate} from './start-rate.js';
+import {mayStart, recordStart} from './start-rate.js';
 
 /** Mean duration assumed before any was measured, in milliseconds. */
 const defaultDurationMilliseconds = 100;
 
-export type RunningRequest = {
-	readonly request: GateRequest;
-	/** Monotonic time in milliseconds. */
-	readonly startedAt: number;
-	/** Requests that ran when it started, itself included. */
-	readonly runningAtStart: number;
-	readonly slowdownAtStart: number;
-	/** Whether nothing else starts while it runs. */
-	readonly isAlone: boolean;
-};
-
-export type QueueState = {
-	/** Slots that the server announced; zero while it takes no new requests. */
-	slots: number;
-	/** Requests that may run concurrently now. */
-	limit: number;
-	readonly running: Map<string, RunningRequest>;
-	readonly waiting: Map<string, GateRequest>;
-	readonly speed: ServerSpeed;
-	readonly startRate: StartRate;
-	readonly concurrency: ConcurrencyProfile;
-	/** Monotonic time at which the time of a waiting request last ran out, in milliseconds. */
-	lastExpiryAt: number;
-};
-
 export const offerOutcomes = {
 	/** It waits until `assignSlots` starts it. */
 	queued: 'queued',
@@ -95,23 +64,6 @@
 	readonly isComplete: boolean;
 };
 
-/**
- * @param slots concurrent requests that the server accepts
- * @returns a queue with nothing running and nothing waiting
- */
-export function createQueue(slots: number): QueueState {
-	return {
-		slots,
-		limit: slots,
-		running: new Map(),
-		waiting: new Map(),
-		speed: createServerSpeed(),
-		startRate: createStartRate(),
-		concurrency: createConcurrencyProfile(),
-		lastExpiryAt: Number.NEGATIVE_INFINITY,
-	};
-}
-
 /**
  * Offers a request to the gate.
  *
--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -5,12 +5,12 @@
  */
 import {
 	createServer,
-	request as sendRequest,
 	type IncomingMessage,
 	type Server,
 	type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {postToNode, type NodeAddress} from './post-to-node.js';
 
 export type StandInPlatformServerOptions = {
 	readonly id: string;
@@ -393,27 +393,6 @@
 	};
 }
 
-/** Posts JSON to the node and resolves with the status; 0 if there was no response. */
-async function postToNode(
-	{host, port}: NodeAddress,
-	path: string,
-	body: unknown,
-): Promise<number> {
-	return new Promise(resolve => {
-		const request = sendRequest(
-			{host, port, method: 'POST', path, agent: false},
-			response => {
-				response.resume();
-				resolve(response.statusCode!);
-			},
-		);
-		request.on('error', () => {
-			resolve(0);
-		});
-		request.end(JSON.stringify(body));
-	});
-}
-
 /** Writes until the peer closes the connection. */
 function writeWithoutEnd(response: ServerResponse): void {
 	if (!response.destroyed) {
@@ -422,9 +401,3 @@
 		});
 	}
 }
-
-type NodeAddress = {
-	readonly host: string;
-	readonly port: number;
-	readonly address: string;
-};
