--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -3,17 +3,12 @@
  * id of the order, which another tenant's request bears that runs at the moment.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createConfig, host} from '../support-2/config.mjs';
-import {sendRequest} from '../support-2/consumer.mjs';
-import {runCase, startFleet} from '../support-2/fleet.mjs';
-import {startInstance} from '../support-2/instance.mjs';
+import {createConfig, createTenant, host} from './stand-ins/config.mjs';
+import {sendRequest} from './stand-ins/consumer.mjs';
+import {runCase, startFleet} from './stand-ins/fleet.mjs';
+import {startInstance} from './stand-ins/instance.mjs';
 
-const bounds = {
-	'config-ms': 3000,
-	'strict-revoke': true,
-	'revoke-ms': 5000,
-	'quota-window-s': 5,
-};
+const revokeMilliseconds = 5000;
 const service = 'odovzdanie';
 const routes = [
 	{
@@ -24,20 +19,16 @@
 		'timeout-ms': 2000,
 	},
 ];
-const tenant = (name, keys) => ({name, 'api-keys': keys, 'per-s': 0, burst: 0});
 const orders = 8;
 const workMilliseconds = 600;
 
 await runCase(import.meta.dirname, async context => {
 	const {record, hasTrouble} = context;
-	const services = [service];
-	const north = tenant('north', ['key-of-north']);
+	const north = createTenant('north', ['key-of-north']);
 	const fleet = await startFleet({
-		bounds,
 		config: createConfig(1, {
-			services,
 			routes,
-			tenants: [north, tenant('south', ['key-of-south'])],
+			tenants: [north, createTenant('south', ['key-of-south'])],
 		}),
 	});
 	context.fleet = fleet;
@@ -84,12 +75,12 @@
 	await send('warm-up-0002', 'key-of-south');
 	if (hasTrouble) {
 		fleet.store.putConfig(
-			createConfig(2, {services, routes, tenants: [north, tenant('south', [])]}),
+			createConfig(2, {routes, tenants: [north, createTenant('south', [])]}),
 		);
 		record('config r2 acknowledged: key-of-south is taken away');
 	}
 
-	await sleep(bounds['revoke-ms'] + 1500);
+	await sleep(revokeMilliseconds + 1500);
 	await send('plain-0001', 'key-of-south');
 	let wrong = 0;
 	for (let number = 1; number <= orders; number += 1) {
