Mark the end of every answer on the way to its caller

Cause: the node passed such an answer on to its caller without a length, so that the end of the node's own connection marked the end of the body. The system ends the connections of a killed process in order. A reset may reach a caller that is late, or that still writes its upload, as an orderly end, as it reached the node itself.

Why this works: the node knows whether the body is whole and says so, by a length if it holds the body, else by the last chunk. A kill, a failed write or a reset leaves the mark out. Nobody else ends an answer by its connection, so the header that told the next node of it goes. HTTP/1.0 has no chunks: there, an answer that is too large to be held still ends with its connection, and is reset if it fails.

The cases of relay/peer-hop that differed in the header now cut a body in chunks after each of its bytes.

--- a/src/call/attempt-request.ts
+++ b/src/call/attempt-request.ts
@@ -48,11 +48,6 @@
 	/** End-to-end headers of the server's response. */
 	readonly headers: HeaderList;
 	readonly body: Body;
-	/**
-	 * Whether only the close of the connection marks the end of the body, so that truncation cannot
-	 * be detected; the body is passed on in the same way.
-	 */
-	readonly isCloseDelimited?: boolean;
 	/** Load reported by the gate, as the value of the load header. */
 	readonly load: string | undefined;
 };
--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -13,7 +13,6 @@
 	refusal: 'foxtailtide-refusal',
 	attempt: 'foxtailtide-attempt',
 	/** The server marked the end of its response by closing the connection; between nodes only. */
-	closeDelimited: 'foxtailtide-close-delimited',
 	load: 'foxtailtide-load',
 	idempotent: 'foxtailtide-idempotent',
 	idempotencyKey: 'idempotency-key',
--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -39,8 +39,6 @@
 	readonly status: number;
 	readonly rawHeaders: HeaderList;
 	readonly body: Body;
-	/** Whether only the close of the connection marks the end of the body. */
-	readonly isCloseDelimited: boolean;
 	/** Whether the connection had carried other requests before. */
 	readonly isReused: boolean;
 };
@@ -265,7 +263,6 @@
 			status: response.statusCode!,
 			rawHeaders: response.rawHeaders,
 			body: isBuffered(body) || !isCloseDelimited ? body : endIfOrderly(body, ending),
-			isCloseDelimited,
 			isReused: request.reusedSocket,
 		});
 	};
--- a/src/http/peer-result.ts
+++ b/src/http/peer-result.ts
@@ -50,9 +50,6 @@
 			status: result.status,
 			headers: copyEndToEndHeaders(result.rawHeaders),
 			body: result.body,
-			isCloseDelimited:
-				result.isCloseDelimited ||
-				findHeader(result.rawHeaders, headerNames.closeDelimited) !== undefined,
 			load,
 		};
 	}
--- a/src/http/response.ts
+++ b/src/http/response.ts
@@ -1,6 +1,8 @@
 /**
- * Writes a server's response or a refusal to a caller or to another node. When the body is
- * truncated, the connection is destroyed, so that the response is never taken as complete.
+ * Writes a server's response or a refusal to a caller or to another node. A length or a last chunk marks the end of
+ * each body, also of one that the server ended with its connection: the close of this node's connection may as well
+ * mean that the node has ended, and a reset may reach a peer that still writes as an orderly end. When the body is
+ * truncated, the connection is destroyed before that mark is sent.
  */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
@@ -15,6 +17,7 @@
 	refusalKinds,
 	type AttemptAnswered,
 	type AttemptResult,
+	type HeaderList,
 	type Outcome,
 	type Refusal,
 } from '../call/index.js';
@@ -40,9 +43,7 @@
 		outcomes.ran,
 		...extra,
 	];
-	if (serverResponse.isCloseDelimited) {
-		makeCloseDelimited(response);
-	} else if (needsContentLength(response, serverResponse)) {
+	if (needsContentLength(response, serverResponse)) {
 		headers.push('content-length', String(serverResponse.body.length));
 	}
 
@@ -52,7 +53,7 @@
 		return;
 	}
 
-	if (serverResponse.isCloseDelimited) {
+	if (!marksEnd(response, headers)) {
 		resetOnFailure(serverResponse.body, response);
 	}
 
@@ -78,23 +79,7 @@
 	body.once('close', reset);
 }
 
-/**
- * Writes a server's response for another node. Its end is always marked, since the close of the connection may
- * also mean that this node has ended; that the server marked it by a close is stated in a header.
- */
-function writePeerResponse(
-	response: ServerResponse,
-	serverResponse: AttemptAnswered,
-	extra: ExtraHeaders,
-): void {
-	const mark = serverResponse.isCloseDelimited ? [headerNames.closeDelimited, '1'] : [];
-	writeResponse(response, {...serverResponse, isCloseDelimited: false}, [
-		...extra,
-		...mark,
-	]);
-}
-
-/** A body that was received in chunks is now buffered, so its length is known. */
+/** A body that was received without a length is now buffered, so its length is known. */
 function needsContentLength(
 	response: ServerResponse,
 	serverResponse: AttemptAnswered,
@@ -107,11 +92,9 @@
 	);
 }
 
-/** Sends the response without a length or chunked encoding; closing the connection ends it. */
-function makeCloseDelimited(response: ServerResponse): void {
-	response.removeHeader('content-length');
-	response.removeHeader('transfer-encoding');
-	response.shouldKeepAlive = false;
+/** Tells whether a length or a last chunk marks the end of a streamed body; HTTP/1.0 has no chunks. */
+function marksEnd({req}: ServerResponse, headers: HeaderList): boolean {
+	return findHeader(headers, 'content-length') !== undefined || req.httpVersion !== '1.0';
 }
 
 /**
@@ -170,7 +153,7 @@
 	extra: ExtraHeaders = [],
 ): void {
 	if (result.kind === attemptResultKinds.answered) {
-		writePeerResponse(response, result, extra);
+		writeResponse(response, result, extra);
 		return;
 	}
 
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -379,7 +379,6 @@
 			status: response.status,
 			headers: copyEndToEndHeaders(response.rawHeaders),
 			body: response.body,
-			isCloseDelimited: response.isCloseDelimited,
 			load: undefined,
 		},
 		metadata,
--- a/test/process/broken-answers.test.ts
+++ b/test/process/broken-answers.test.ts
@@ -4,10 +4,16 @@
  */
 import type {IncomingMessage} from 'node:http';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {startWithOneServer} from '../support/malformed-messages.js';
-import {sendRaw, type RawAnswer} from '../support/raw-caller.js';
-import {createConfiguration, type RelayMesh} from '../support/relay-mesh.js';
+import {countServed, startWithOneServer} from '../support/malformed-messages.js';
+import {sendRaw, type RawAnswer, type RawRequest} from '../support/raw-caller.js';
+import {
+	createConfiguration,
+	waitUntilReady,
+	type RelayMesh,
+	type RelayNode,
+} from '../support/relay-mesh.js';
 
 const configuration = {
 	...(createConfiguration(1) as Record<string, unknown>),
@@ -148,3 +154,92 @@
 	);
 	expect(unserved).toEqual([]);
 });
+
+const large = {bytes: 4_000_000, pieceBytes: 50_000, pieceMilliseconds: 10};
+const largePiece = 'b'.repeat(large.pieceBytes);
+
+/** Sends an answer that is too large to be held, without a length, and ends or breaks it off. */
+async function sendLarge(
+	request: IncomingMessage,
+	requestId: string,
+	bytes: number,
+	end: (request: IncomingMessage) => void,
+): Promise<void> {
+	writeHead(request, 'HTTP/1.1 200 OK', requestId);
+	request.resume();
+	for (let sent = 0; sent < bytes; sent += large.pieceBytes) {
+		request.socket.write(largePiece);
+		await sleep(large.pieceMilliseconds);
+	}
+
+	end(request);
+}
+
+async function fetchLarge(
+	{callersPort}: RelayNode,
+	requestId: string,
+	options: Partial<RawRequest> = {},
+): Promise<RawAnswer> {
+	return sendRaw({port: callersPort, requestId, path: '/search/large', ...options});
+}
+
+test('a large answer without a length arrives whole, or looks broken', async context => {
+	const mesh = await startWithOneServer(context, {configuration});
+	const [near, far] = mesh.nodes as [RelayNode, RelayNode];
+	const {server} = near;
+	server.answerHead((request, id) => {
+		void sendLarge(request, id, large.bytes, ({socket}) => socket.end());
+	});
+	const whole = await Promise.all([
+		fetchLarge(near, 'near'),
+		fetchLarge(far, 'far'),
+		fetchLarge(far, 'slow', {bytesPerSecond: 6_000_000}),
+		fetchLarge(far, 'old', {version: '1.0'}),
+	]);
+	expect(whole.map(({status, isWhole}) => [status, isWhole])).toEqual(
+		whole.map(() => [200, true]),
+	);
+	expect(whole.map(({body}) => body.length)).toEqual(whole.map(() => large.bytes));
+	expect(whole.map(({isMarked}) => isMarked)).toEqual([true, true, true, false]);
+
+	server.answerHead((request, id) => {
+		void sendLarge(request, id, large.bytes / 2, ({socket}) => socket.resetAndDestroy());
+	});
+	const cut = await Promise.all([
+		fetchLarge(near, 'near-cut'),
+		fetchLarge(far, 'far-cut'),
+		fetchLarge(far, 'old-cut', {version: '1.0'}),
+	]);
+	expect(cut.map(({isWhole}) => isWhole)).toEqual([false, false, false]);
+});
+
+for (const killed of ['near', 'far'] as const) {
+	test(`an answer without a length never looks whole when the ${killed} node is killed`, async context => {
+		const mesh = await startWithOneServer(context, {configuration});
+		const [near, far] = mesh.nodes as [RelayNode, RelayNode];
+		const sizes = [large.bytes, 800_000];
+		const parts: string[] = [];
+		for (const [index, bytes] of sizes.entries()) {
+			near.server.answerHead((request, id) => {
+				void sendLarge(request, id, bytes, ({socket}) => socket.end());
+			});
+			const callers = [far, ...(killed === 'near' ? [near] : [])];
+			const pending = callers.map(async (node, caller) =>
+				fetchLarge(node, `large-${index}-${caller}`, {bytesPerSecond: 1_000_000}),
+			);
+			await sleep(600);
+			await (killed === 'near' ? near : far).restart();
+			for (const {isWhole, status, body} of await Promise.all(pending)) {
+				if (isWhole && status < 300 && body.length < bytes) {
+					parts.push(`${body.length} of ${bytes} bytes`);
+				}
+			}
+
+			near.server.answerHead(undefined);
+			await waitUntilReady(killed === 'near' ? near : far);
+			await countServed(mesh);
+		}
+
+		expect(parts).toEqual([]);
+	});
+}
--- a/test/relay/peer-hop.test.ts
+++ b/test/relay/peer-hop.test.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer as createHttpServer, request as sendRequest} from 'node:http';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import {Readable} from 'node:stream';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
@@ -37,7 +38,6 @@
 	status: 200,
 	headers: ['X-Request-Id', 'request-1', 'X-Response-Seal', 'seal'],
 	body: new TextEncoder().encode('the whole body'),
-	isCloseDelimited: false,
 	load: undefined,
 };
 const refused: AttemptResult = {
@@ -99,15 +99,16 @@
 		client.send(member, createAttempt(sequence), 1).result;
 }
 
-const cases: ReadonlyArray<readonly [string, AttemptResult]> = [
-	['of known length', answered],
-	['that its server ended by a close', {...answered, isCloseDelimited: true}],
-	['without a body', {...answered, isCloseDelimited: true, body: new Uint8Array(0)}],
-	['that refuses', refused],
+const cases: ReadonlyArray<readonly [string, () => AttemptResult]> = [
+	['of known length', () => answered],
+	['of unknown length', () => ({...answered, body: Readable.from(['in two', 'parts'])})],
+	['without a body', () => ({...answered, body: new Uint8Array(0)})],
+	['that refuses', () => refused],
 ];
-for (const [name, result] of cases) {
+for (const [name, createResult] of cases) {
 	for (const cut of ['end', 'resetAndDestroy'] as const) {
 		test(`a response ${name}, cut after any of its bytes, is never taken for whole (${cut})`, async context => {
+			const result = createResult();
 			const bytes = await captureBytes(result);
 			const state = {length: 0};
 			const send = await startPeer(context, socket => {
