Take a part of an answer for broken at every reader of answers

Cause: the same as with the answers of servers. Each of these readers asks Node.js whether the answer is complete, and Node.js takes the hang-up of a connection for its orderly end; at the client of the table a later reset too.

Why this works: they wait for the same proof of an orderly end as exchanges between nodes and with servers, which health paths use too. Two other readers need none: the question for the store's clock reads a header only, and what goes over gRPC is framed.

--- a/src/command/administration-client.ts
+++ b/src/command/administration-client.ts
@@ -7,7 +7,7 @@
 import {request as requestHttps} from 'node:https';
 import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
-import {collectBody} from '../http/index.js';
+import {collectResponse} from '../http/index.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
 const requestTimeoutMilliseconds = 15_000;
@@ -119,7 +119,8 @@
 			resolve(err(createUnreachableError(target, error)));
 		});
 		outgoing.on('response', response => {
-			collectBody(response, maximumResponseBytes, (whole, error) => {
+			const exchange = {request: outgoing, response};
+			collectResponse(exchange, maximumResponseBytes, (whole, error) => {
 				if (whole === undefined) {
 					resolve(err(createUnreachableError(target, error ?? new Error('cut off'))));
 					return;
--- a/src/http/body-end.ts
+++ b/src/http/body-end.ts
@@ -5,39 +5,66 @@
  * connection still has a peer and can still be written to.
  */
 import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 const chunkedPattern = /(?:^|,)[\t ]*chunked[\t ]*$/iv;
 /** Means nothing to a peer that still reads after a complete request. */
 const emptyLine = '\r\n';
 
 /**
- * Tells whether a length or a last chunk marks the end of a response's body.
+ * Tells whether a response has a body.
  *
+ * @param request the request of the response
  * @param response the response
  */
-export function isEndMarked({headers}: IncomingMessage): boolean {
-	const coding = headers['transfer-encoding'];
-	return coding === undefined
-		? headers['content-length'] !== undefined
-		: chunkedPattern.test(coding);
+export function hasBody(request: ClientRequest, response: IncomingMessage): boolean {
+	return request.method !== 'HEAD' && !bodilessStatuses.has(response.statusCode!);
 }
 
 /**
- * Waits for the end of a connection on which a response has begun.
+ * Tells whether neither a length nor a last chunk marks the end of a response's body.
  *
  * @param request the request of the response
- * @returns why the end does not prove that the body is whole; undefined if it does
+ * @param response the response
  */
-export async function awaitOrderlyEnd(
+export function endsWithConnection(
 	request: ClientRequest,
+	response: IncomingMessage,
+): boolean {
+	return hasBody(request, response) && !isEndMarked(response);
+}
+
+/**
+ * Waits until it is known whether a body is whole that its reader takes for complete. To be called when the response
+ * begins; a body that ends by a length or a last chunk needs no more than these.
+ *
+ * @param request the request of the response
+ * @param response the response
+ * @returns why the end of the connection does not prove that the body is whole; undefined if it is
+ */
+export async function awaitWholeBody(
+	request: ClientRequest,
+	response: IncomingMessage,
 ): Promise<Error | undefined> {
-	const {socket} = request;
-	return new Promise(resolve => {
-		if (socket === null) {
-			resolve(new Error('the connection is gone'));
-			return;
-		}
+	return endsWithConnection(request, response)
+		? awaitOrderlyEnd(response.socket, request)
+		: undefined;
+}
+
+function isEndMarked({headers}: IncomingMessage): boolean {
+	const coding = headers['transfer-encoding'];
+	return coding === undefined
+		? headers['content-length'] !== undefined
+		: chunkedPattern.test(coding);
+}
 
+/** Finds why the end of a connection is not orderly; undefined if it is. */
+async function awaitOrderlyEnd(
+	socket: Socket,
+	request: ClientRequest,
+): Promise<Error | undefined> {
+	return new Promise(resolve => {
 		const confirm = (): void => {
 			// The system knows no peer of a connection that was reset, unlike one whose peer has only ended it.
 			if (socket.remoteAddress === undefined) {
--- a/src/http/buffer-body.ts
+++ b/src/http/buffer-body.ts
@@ -2,8 +2,9 @@
  * Reads a message's body into memory up to a limit. What is larger is refused or streamed, since a
  * faulty peer may send bytes without end.
  */
-import type {IncomingMessage} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Body} from '../call/index.js';
+import {awaitWholeBody} from './body-end.js';
 import {createByteCollector, createTooFineError} from './byte-collector.js';
 import {joinPieces} from './joined-pieces.js';
 
@@ -37,6 +38,34 @@
 	});
 }
 
+/**
+ * Reads the body of a response into memory. One that ends with its connection has to end in order.
+ *
+ * @param exchange the request and its response, which has just begun
+ * @param limitBytes maximum size of the body
+ * @param done called once, with the complete body or with the error that truncated it
+ */
+export function collectResponse(
+	{
+		request,
+		response,
+	}: {readonly request: ClientRequest; readonly response: IncomingMessage},
+	limitBytes: number,
+	done: (body: Uint8Array | undefined, error: Error | undefined) => void,
+): void {
+	const ending = awaitWholeBody(request, response);
+	collectBody(response, limitBytes, (body, error) => {
+		if (body === undefined) {
+			done(undefined, error);
+			return;
+		}
+
+		void ending.then(fault => {
+			done(fault === undefined ? body : undefined, fault);
+		});
+	});
+}
+
 /**
  * Reads a message's body into memory, or streams it when it is over the limit.
  *
--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -12,7 +12,7 @@
 import type {Socket} from 'node:net';
 import {pipeline, Transform, type Readable} from 'node:stream';
 import {findHeader, isBuffered, type Body, type HeaderList} from '../call/index.js';
-import {awaitOrderlyEnd, isEndMarked} from './body-end.js';
+import {awaitWholeBody, endsWithConnection, hasBody} from './body-end.js';
 import {bufferOrStream} from './buffer-body.js';
 import {joinPieces} from './joined-pieces.js';
 import {findResponseHeadFault} from './message-head.js';
@@ -24,7 +24,6 @@
 const processingStatus = 102;
 /** Informational responses to one request; a faulty peer may send them without end. */
 const maximumInformationResponses = 16;
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 export const exchangeKinds = {
 	answered: 'answered',
@@ -255,8 +254,8 @@
 	}
 
 	closeAfterEarlyResponse(request, response);
-	const isCloseDelimited = hasBody(request, response) && !isEndMarked(response);
-	const ending = isCloseDelimited ? awaitOrderlyEnd(request) : Promise.resolve(undefined);
+	const isCloseDelimited = endsWithConnection(request, response);
+	const ending = awaitWholeBody(request, response);
 	const resolveWith = (body: Body): void => {
 		resolve({
 			kind: exchangeKinds.answered,
@@ -326,10 +325,6 @@
 	});
 }
 
-function hasBody(request: ClientRequest, response: IncomingMessage): boolean {
-	return request.method !== 'HEAD' && !bodilessStatuses.has(response.statusCode!);
-}
-
 function shouldBuffer({request, response, bufferLimitBytes}: ResponseContext): boolean {
 	if (!hasBody(request, response)) {
 		return true;
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -8,7 +8,8 @@
 	writeAttemptResult,
 	type ExtraHeaders,
 } from './response.js';
-export {bufferOrStream, collectBody} from './buffer-body.js';
+export {awaitWholeBody} from './body-end.js';
+export {bufferOrStream, collectBody, collectResponse} from './buffer-body.js';
 export {createByteCollector, type ByteCollector} from './byte-collector.js';
 export {joinPieces} from './joined-pieces.js';
 export {
--- a/src/relay/peer-routes-question.ts
+++ b/src/relay/peer-routes-question.ts
@@ -4,7 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {request as sendRequest} from 'node:http';
-import {collectBody} from '../http/index.js';
+import {collectResponse} from '../http/index.js';
 import type {Member} from '../membership/index.js';
 import {newerThanHeader, routesPath, waitHeader} from './peer-listener.js';
 
@@ -62,7 +62,7 @@
 			}
 
 			question.onReceiving();
-			collectBody(response, maximumRoutesBytes, whole => {
+			collectResponse({request, response}, maximumRoutesBytes, whole => {
 				resolve(whole && Buffer.from(whole).toString('utf8'));
 			});
 		});
--- a/src/table/exchange.ts
+++ b/src/table/exchange.ts
@@ -13,7 +13,7 @@
 } from 'node:http';
 import {request as requestSecure} from 'node:https';
 import {err, ok, type Result} from 'neverthrow';
-import {createByteCollector} from '../http/index.js';
+import {awaitWholeBody, createByteCollector} from '../http/index.js';
 import {createTimedOut, createUnavailable, type TableError} from './table-error.js';
 
 const maximumResponseBytes = 16_777_216;
@@ -49,7 +49,13 @@
 	const isConnected = trackConnection(request);
 	try {
 		const response = await sendRequest(request, exchange.body);
+		const ending = awaitWholeBody(request, response);
 		const body = await readResponse(response);
+		const fault = await ending;
+		if (fault !== undefined) {
+			throw fault;
+		}
+
 		return ok({status: response.statusCode ?? 0, headers: response.headers, body});
 	} catch (error) {
 		const timeout = `no response within ${exchange.timeoutMilliseconds} ms`;
