Refuse an answer with an invalid head at every reader of answers

What operators saw: a command of the administration ended with 0 on an answer with status 000 or 099, as if it had been done.

Cause: Node.js parses such statuses, and the client took every status below 300 for success. Only exchanges with servers and other nodes checked the head of what they had received.

Why this works: these readers now use the statement of valid heads that exchanges use, before any of the answer counts, so it no longer depends on the version of the parser or on how a reader compares statuses.

--- a/src/http/buffer-body.ts
+++ b/src/http/buffer-body.ts
@@ -4,9 +4,9 @@
  */
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Body} from '../call/index.js';
-import {awaitWholeBody} from './body-end.js';
 import {createByteCollector, createTooFineError} from './byte-collector.js';
 import {joinPieces} from './joined-pieces.js';
+import {awaitSoundResponse} from './sound-response.js';
 
 /**
  * Reads a message's body into memory. A body over the limit ends the message's connection.
@@ -39,7 +39,7 @@
 }
 
 /**
- * Reads the body of a response into memory. One that ends with its connection has to end in order.
+ * Reads the body of a response into memory. Its head has to be valid, and its end proved.
  *
  * @param exchange the request and its response, which has just begun
  * @param limitBytes maximum size of the body
@@ -53,14 +53,14 @@
 	limitBytes: number,
 	done: (body: Uint8Array | undefined, error: Error | undefined) => void,
 ): void {
-	const ending = awaitWholeBody(request, response);
+	const verdict = awaitSoundResponse(request, response);
 	collectBody(response, limitBytes, (body, error) => {
 		if (body === undefined) {
 			done(undefined, error);
 			return;
 		}
 
-		void ending.then(fault => {
+		void verdict.then(fault => {
 			done(fault === undefined ? body : undefined, fault);
 		});
 	});
--- a/src/http/exchange.ts
+++ b/src/http/exchange.ts
@@ -15,7 +15,7 @@
 import {awaitWholeBody, endsWithConnection, hasBody} from './body-end.js';
 import {bufferOrStream} from './buffer-body.js';
 import {joinPieces} from './joined-pieces.js';
-import {findResponseHeadFault} from './message-head.js';
+import {findHeadError} from './sound-response.js';
 
 /** Bodies up to this size are buffered in memory, so that they can be sent again. */
 export const bufferedBodyLimitBytes = 65_536;
@@ -242,12 +242,8 @@
 	resolve: (result: ExchangeResult) => void,
 ): void {
 	const {request, response, progress} = context;
-	const fault = findResponseHeadFault({
-		status: response.statusCode!,
-		headers: response.rawHeaders,
-	});
-	if (fault !== undefined) {
-		const error = new Error(`the response is malformed: ${fault}`);
+	const error = findHeadError(response);
+	if (error !== undefined) {
 		request.destroy(error);
 		resolve(createFailure(error, progress));
 		return;
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -8,7 +8,6 @@
 	writeAttemptResult,
 	type ExtraHeaders,
 } from './response.js';
-export {awaitWholeBody} from './body-end.js';
 export {bufferOrStream, collectBody, collectResponse} from './buffer-body.js';
 export {createByteCollector, type ByteCollector} from './byte-collector.js';
 export {joinPieces} from './joined-pieces.js';
@@ -45,5 +44,6 @@
 	type OpenCalls,
 } from './open-calls.js';
 export {decodePathSegment} from './path.js';
+export {awaitSoundResponse} from './sound-response.js';
 export {readPeerResult} from './peer-result.js';
 export {hasSmallBody, readSmallBody} from './request-body.js';
--- a/src/load/sender.ts
+++ b/src/load/sender.ts
@@ -3,7 +3,7 @@
 import {createHash} from 'node:crypto';
 import {type Agent, request, type ClientRequest, type IncomingMessage} from 'node:http';
 import {outcomes, type Outcome} from '../call/index.js';
-import {awaitWholeBody} from '../http/index.js';
+import {awaitSoundResponse} from '../http/index.js';
 import {keyPolicies, type Stream} from './experiment.js';
 
 const bodyBlockBytes = 65_536;
@@ -63,10 +63,10 @@
 			fail('code' in error ? String(error.code) : 'connection-failed');
 		});
 		outgoing.on('response', response => {
-			const ending = awaitWholeBody(outgoing, response);
+			const verdict = awaitSoundResponse(outgoing, response);
 			response.resume();
 			response.on('close', () => {
-				void ending.then(fault => {
+				void verdict.then(fault => {
 					if (response.complete && fault === undefined) {
 						resolve(readResult(loadRequest, response));
 					} else {
--- a/src/table/exchange.ts
+++ b/src/table/exchange.ts
@@ -13,7 +13,7 @@
 } from 'node:http';
 import {request as requestSecure} from 'node:https';
 import {err, ok, type Result} from 'neverthrow';
-import {awaitWholeBody, createByteCollector} from '../http/index.js';
+import {awaitSoundResponse, createByteCollector} from '../http/index.js';
 import {createTimedOut, createUnavailable, type TableError} from './table-error.js';
 
 const maximumResponseBytes = 16_777_216;
@@ -49,9 +49,9 @@
 	const isConnected = trackConnection(request);
 	try {
 		const response = await sendRequest(request, exchange.body);
-		const ending = awaitWholeBody(request, response);
+		const verdict = awaitSoundResponse(request, response);
 		const body = await readResponse(response);
-		const fault = await ending;
+		const fault = await verdict;
 		if (fault !== undefined) {
 			throw fault;
 		}
--- a/test/http/answer-readers.test.ts
+++ b/test/http/answer-readers.test.ts
@@ -1,6 +1,6 @@
 /**
- * Every reader of an answer asks by what it knows that the answer is whole. An answer without a length ends with its
- * connection, and a reset of it may look like that end.
+ * Every reader of an answer knows that it is valid and whole. An answer without a length ends with its connection, and a
+ * reset of it may look like that end; Node.js parses heads that HTTP does not allow.
  */
 import {once} from 'node:events';
 import {Agent} from 'node:http';
@@ -8,6 +8,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {sendApiRequest} from '../../src/command/administration-client.js';
+import {exchangeKinds, startExchange} from '../../src/http/index.js';
 import {parseExperiment} from '../../src/load/index.js';
 import {sendLoadRequest} from '../../src/load/sender.js';
 import {askForRoutes} from '../../src/relay/peer-routes-question.js';
@@ -22,13 +23,32 @@
 targets: ['127.0.0.1:1']
 streams: [{name: one, service: one, ratePerSecond: 1}]
 `;
-/** A row, a document or a report: a part of it may be valid too. */
-const answer = 'HTTP/1.1 200 OK\r\nETag: "1"\r\nConnection: close\r\n\r\n12';
+/** Followed by a row, a document or a report; a part of it may be valid too. */
+const head = 'HTTP/1.1 200 OK\r\nETag: "1"\r\nConnection: close\r\n';
 
-/** Whether a reader takes what it gets for a whole answer. */
-type TakesForWhole = (port: number) => Promise<boolean>;
+/** Whether a reader takes what it gets for an answer, and for all of it. */
+type TakesAnswer = (port: number) => Promise<boolean>;
 
-const readers: ReadonlyArray<readonly [string, TakesForWhole]> = [
+const readers: ReadonlyArray<readonly [string, TakesAnswer]> = [
+	[
+		'an exchange with a server, its health path or another node',
+		async port => {
+			const agent = new Agent();
+			const {kind} = await startExchange({
+				agent,
+				host,
+				port,
+				method: 'GET',
+				path: '/',
+				headers: [],
+				body: new Uint8Array(0),
+				awaitContinue: false,
+				bufferLimitBytes: 0,
+			}).result;
+			agent.destroy();
+			return kind === exchangeKinds.answered;
+		},
+	],
 	[
 		'the client of the table',
 		async port => {
@@ -82,28 +102,62 @@
 	],
 ];
 
-const ends: ReadonlyArray<readonly [string, (socket: Socket) => void, boolean]> = [
-	['ends in order', socket => socket.end(), true],
-	['is reset at once', socket => socket.resetAndDestroy(), false],
-	['is reset later', socket => setTimeout(() => socket.resetAndDestroy(), 20), false],
+type AnswerCase = {
+	readonly name: string;
+	readonly write: (socket: Socket) => void;
+	readonly isSound: boolean;
+};
+
+const cases: readonly AnswerCase[] = [
+	{
+		name: 'whose connection ends in order',
+		write: socket => socket.end(`${head}\r\n12`),
+		isSound: true,
+	},
+	{
+		name: 'whose connection is reset at once',
+		write(socket) {
+			socket.write(`${head}\r\n12`, () => {
+				socket.resetAndDestroy();
+			});
+		},
+		isSound: false,
+	},
+	{
+		name: 'whose connection is reset later',
+		write(socket) {
+			socket.write(`${head}\r\n12`, () => {
+				setTimeout(() => socket.resetAndDestroy(), 20);
+			});
+		},
+		isSound: false,
+	},
+	...['000', '099', '600'].map(status => ({
+		name: `with status ${status}`,
+		write: (socket: Socket) => socket.end(`${head.replace('200', status)}\r\n12`),
+		isSound: false,
+	})),
+	...['with blank: a', 'blank-behind : a', ': a', 'with\u0001byte: a'].map(line => ({
+		name: `with the header ${JSON.stringify(line)}`,
+		write: (socket: Socket) => socket.end(`${head}${line}\r\n\r\n12`),
+		isSound: false,
+	})),
 ];
 
-for (const [reader, takesForWhole] of readers) {
-	for (const [name, end, isWhole] of ends) {
-		test(`${reader} ${isWhole ? 'takes' : 'does not take'} an answer for whole whose connection ${name}`, async context => {
+for (const [reader, takes] of readers) {
+	for (const {name, write, isSound} of cases) {
+		test(`${reader} ${isSound ? 'takes' : 'refuses'} an answer ${name}`, async context => {
 			const server = createServer(socket => {
 				socket.on('error', () => undefined);
 				socket.once('data', () => {
-					socket.write(answer, () => {
-						end(socket);
-					});
+					write(socket);
 				});
 			});
 			server.listen(0, host);
 			await once(server, 'listening');
 			context.after(() => server.close());
 			const {port} = server.address() as AddressInfo;
-			expect(await takesForWhole(port)).toEqual(isWhole);
+			expect(await takes(port)).toEqual(isSound);
 		});
 	}
 }
