--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -24,8 +24,11 @@
 /** Writes a response to a connection, from the id of the request. */
 export type WriteRaw = (socket: Socket, requestId: string) => void;
 
-/** Answers a request whose body has not been read yet; reads on by itself if it is to be read. */
-export type AnswerHead = (request: IncomingMessage, requestId: string) => void;
+/**
+ * Answers a request whose body has not been read yet, and reads on by itself if it is to be read; false if the request
+ * is to be handled as usual.
+ */
+export type AnswerHead = (request: IncomingMessage, requestId: string) => boolean;
 
 /** How a server handles requests. */
 export const serverBehaviours = {
@@ -146,8 +149,7 @@
 
 	function handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const requestId = String(request.headers['x-request-id']);
-		if (state.answerHead !== undefined) {
-			state.answerHead(request, requestId);
+		if (state.answerHead?.(request, requestId)) {
 			return;
 		}
 
--- a/test/process/broken-answers.test.ts
+++ b/test/process/broken-answers.test.ts
@@ -123,6 +123,7 @@
 	for (const early of listEarlyAnswers()) {
 		server.answerHead((request, id) => {
 			respond(early, request, id);
+			return true;
 		});
 		for (const node of [0, 1]) {
 			const got = await sendUpload(mesh, node, early);
@@ -189,6 +190,7 @@
 	const {server} = near;
 	server.answerHead((request, id) => {
 		void sendLarge(request, id, large.bytes, ({socket}) => socket.end());
+		return true;
 	});
 	const whole = await Promise.all([
 		fetchLarge(near, 'near'),
@@ -204,6 +206,7 @@
 
 	server.answerHead((request, id) => {
 		void sendLarge(request, id, large.bytes / 2, ({socket}) => socket.resetAndDestroy());
+		return true;
 	});
 	const cut = await Promise.all([
 		fetchLarge(near, 'near-cut'),
@@ -222,6 +225,7 @@
 		for (const [index, bytes] of sizes.entries()) {
 			near.server.answerHead((request, id) => {
 				void sendLarge(request, id, bytes, ({socket}) => socket.end());
+				return true;
 			});
 			const callers = [far, ...(killed === 'near' ? [near] : [])];
 			const pending = callers.map(async (node, caller) =>
