Close the connection of the control in the test of odd heads

Its control, added last, wrote a sound answer past the stand-in's HTTP server and left the connection open, and that server holds back its next answer there until the unanswered request before it ends. The node did nothing wrong. The control asks for the close now; no check or bound has changed.

--- a/test/process/odd-heads.test.ts
+++ b/test/process/odd-heads.test.ts
@@ -109,9 +109,10 @@
 		return status === 200 && body === `answer to ${id}`;
 	};
 
+	// Kept open, the connection would take no further answer of the stand-in's own, which waits for this one.
 	answerOddly(mesh, {
 		name: 'sound',
-		text: id => `HTTP/1.1 200 OK\r\n${sealed(id)}${byLength}\r\n`,
+		text: id => `HTTP/1.1 200 OK\r\n${sealed(id)}Connection: close\r\n${byLength}\r\n`,
 	});
 	for (const {callersPort: port} of mesh.nodes) {
 		const {status, body} = await sendRaw({port, requestId: `${port}`, path: oddPath});
