Take a response in a transfer coding that nobody decodes for lost

What callers saw: an answer whose body is in a transfer coding other than chunks, with a body that is not the server's: the bytes as coded, or with the chunks' sizes among them, and without the header that says so, since it concerns one connection only.

Cause: the parser of Node.js decodes chunks if they come last, and reads every other coding until the connection closes; it reports neither. Found by reading, while looking for what ends a body; not seen by users.

Evidence: four cases of http/exchange failed ("gzip, chunked", "chunked, chunked", "gzip", "chunked;q=1"); three that hold what may be passed on ("chunked", "Chunked", "identity") passed before and after.

Why this works: the statement of valid heads names the codings that can be read. No request asks for another one, so a sound server sends none.

--- a/src/http/body-end.ts
+++ b/src/http/body-end.ts
@@ -8,7 +8,6 @@
 import type {Socket} from 'node:net';
 
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-const chunkedPattern = /(?:^|,)[\t ]*chunked[\t ]*$/iv;
 /** Means nothing to a peer that still reads after a complete request. */
 const emptyLine = '\r\n';
 
@@ -53,10 +52,10 @@
 }
 
 function isEndMarked({headers}: IncomingMessage): boolean {
-	const coding = headers['transfer-encoding'];
-	return coding === undefined
-		? headers['content-length'] !== undefined
-		: chunkedPattern.test(coding);
+	return (
+		headers['content-length'] !== undefined ||
+		headers['transfer-encoding']?.toLowerCase() === 'chunked'
+	);
 }
 
 /** Finds why the end of a connection is not orderly; undefined if it is. */
--- a/src/http/message-head.ts
+++ b/src/http/message-head.ts
@@ -17,6 +17,8 @@
 
 const firstFinalStatus = 200;
 const lastFinalStatus = 599;
+/** Without a header, and with either of the first two, a body is sent as it is. */
+const readableCodings: ReadonlySet<string> = new Set(['', 'identity', 'chunked']);
 const tokenPattern = /^[\w!#$%\u0026'*+\-.^`\|~]+$/v;
 /** Visible characters and bytes beyond ASCII, with tabs and spaces between them. */
 const valuePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
@@ -50,7 +52,11 @@
 export function findResponseHeadFault(head: ResponseHead): string | undefined {
 	const {status} = head;
 	const isFinal = status >= firstFinalStatus && status <= lastFinalStatus;
-	return isFinal ? findHeaderFault(head.headers) : `${status} is not a final status`;
+	if (!isFinal) {
+		return `${status} is not a final status`;
+	}
+
+	return findHeaderFault(head.headers) ?? findCodingFault(head.headers);
 }
 
 /**
@@ -90,6 +96,18 @@
 	return Buffer.from(text, 'utf8').toString('latin1');
 }
 
+/** Only chunks are decoded here, and no request asks for another coding. */
+function findCodingFault(headers: HeaderList): string | undefined {
+	const codings = headers.filter(
+		(_, index) =>
+			index % 2 === 1 && headers[index - 1]!.toLowerCase() === 'transfer-encoding',
+	);
+	const coding = codings.join(',').trim().toLowerCase();
+	return readableCodings.has(coding)
+		? undefined
+		: `the transfer coding ${JSON.stringify(coding)} cannot be read`;
+}
+
 function findHeaderFault(headers: HeaderList): string | undefined {
 	for (let index = 0; index < headers.length; index += 2) {
 		if (!tokenPattern.test(headers[index]!)) {
--- a/test/http/exchange.test.ts
+++ b/test/http/exchange.test.ts
@@ -87,6 +87,25 @@
 		},
 		kind: exchangeKinds.lost,
 	},
+	// Decoded by nobody, such a body reached the caller as if it were the server's.
+	...['gzip, chunked', 'chunked, chunked', 'gzip', 'chunked;q=1'].map(coding => ({
+		name: `a response in the transfer coding "${coding}" is lost`,
+		respond(socket: Socket) {
+			socket.end(
+				`${head}Transfer-Encoding: ${coding}\r\nConnection: close\r\n\r\n1\r\na\r\n0\r\n\r\n`,
+			);
+		},
+		kind: exchangeKinds.lost,
+	})),
+	...['chunked', 'Chunked', 'identity'].map(coding => ({
+		name: `a response in the transfer coding "${coding}" is answered`,
+		respond(socket: Socket) {
+			socket.end(
+				`${head}Transfer-Encoding: ${coding}\r\nConnection: close\r\n\r\n1\r\na\r\n0\r\n\r\n`,
+			);
+		},
+		kind: exchangeKinds.answered,
+	})),
 	{
 		name: 'a response shorter than its content length is lost',
 		respond: socket => socket.end(`${head}Content-Length: 20\r\n\r\npart of`),
