--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -12,7 +12,6 @@
 	outcome: 'foxtailtide-outcome',
 	refusal: 'foxtailtide-refusal',
 	attempt: 'foxtailtide-attempt',
-	/** The server marked the end of its response by closing the connection; between nodes only. */
 	load: 'foxtailtide-load',
 	idempotent: 'foxtailtide-idempotent',
 	idempotencyKey: 'idempotency-key',
--- a/src/http/response.ts
+++ b/src/http/response.ts
@@ -92,9 +92,9 @@
 	);
 }
 
-/** Tells whether a length or a last chunk marks the end of a streamed body; HTTP/1.0 has no chunks. */
+/** Tells whether a length or a last chunk marks the end of a streamed body; only HTTP/1.1 has chunks. */
 function marksEnd({req}: ServerResponse, headers: HeaderList): boolean {
-	return findHeader(headers, 'content-length') !== undefined || req.httpVersion !== '1.0';
+	return findHeader(headers, 'content-length') !== undefined || req.httpVersion === '1.1';
 }
 
 /**
