Move the classes of results out of the client of the local server

The client (254 lines of 401) owns connections and sends; how a request ended is decided by functions of response, metadata and call, which need neither.

--- a/src/relay/gate-quarantine.ts
+++ b/src/relay/gate-quarantine.ts
@@ -10,7 +10,7 @@
 import {createCrashResult, createQuarantineRefusal} from './crash-result.js';
 import {createCrashWatch} from './crash-watch.js';
 import type {GateEntry} from './gate-entry.js';
-import {serverResultKinds, type ServerResult} from './server-exchange.js';
+import {serverResultKinds, type ServerResult} from './server-result.js';
 
 /** What a gate needs of the quarantine of its node. */
 export type QuarantineOfGate = Pick<
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -48,12 +48,8 @@
 import {createLocalServer} from './local-server.js';
 import {createRetryAllowance} from './retry-allowance.js';
 import {createSpeedProbe} from './speed-probe.js';
-import {
-	createServerClient,
-	serverResultKinds,
-	type ServerResult,
-	type ServerTarget,
-} from './server-exchange.js';
+import {createServerClient, type ServerTarget} from './server-exchange.js';
+import {serverResultKinds, type ServerResult} from './server-result.js';
 
 /** How long a server that refuses connections gets no requests. */
 const unreachableBackoffMilliseconds = 700;
--- a/src/relay/server-exchange.ts
+++ b/src/relay/server-exchange.ts
@@ -1,33 +1,16 @@
-/**
- * Sends requests to the local server, owns the connections to it and classifies the results. A
- * response counts only if it is complete, sealed and for this request. Only the server's own
- * declaration, or a connection that was never made, proves that a request did not run.
- */
+/** Sends requests and health questions to the local server, and owns the connections to it. */
 import {Agent} from 'node:http';
-import {
-	attemptResultKinds,
-	copyEndToEndHeaders,
-	createRefusal,
-	isBuffered,
-	outcomes,
-	refusalKinds,
-	type AttemptResult,
-	type Body,
-	type RefusalKind,
-} from '../call/index.js';
-import {
-	exchangeKinds,
-	startExchange,
-	type ExchangeAnswered,
-	type ExchangeResult,
-} from '../http/index.js';
+import {isBuffered, type Body} from '../call/index.js';
+import {exchangeKinds, startExchange, type ExchangeResult} from '../http/index.js';
 import type {RelayCall} from './call.js';
-import type {
-	PlatformProtocol,
-	ServerNotice,
-	ServerResponseMetadata,
-	ServerHealth,
-} from './platform-protocol.js';
+import type {PlatformProtocol, ServerHealth} from './platform-protocol.js';
+import {
+	classifyResponse,
+	createLostResult,
+	createUnreachableResult,
+	findResponseFault,
+	type ServerResult,
+} from './server-result.js';
 
 /** Responses up to this size are buffered until they are complete. */
 export const maximumBufferedResponseBytes = 1_048_576;
@@ -39,7 +22,6 @@
 const pooledAvoidanceMilliseconds = 10_000;
 /** Maximum attempts to send a request when connections prove stale before anything is sent. */
 const maximumConnectionAttempts = 3;
-const firstFailureStatus = 500;
 /** The health path responds in about a millisecond. */
 const probeTimeoutMilliseconds = 40;
 /** The second probe uses a new connection and gets more time. */
@@ -58,33 +40,6 @@
 	isLeaving: false,
 };
 
-/** How a request at the server ended. */
-export const serverResultKinds = {
-	answered: 'answered',
-	/** The server responded with an error status. */
-	failed: 'failed',
-	/** The server declared that it did not run the request. */
-	shed: 'shed',
-	/** The server accepts no connections, or another server has its address. */
-	unreachable: 'unreachable',
-	/** The connection broke, or the response is unsealed or for another request. */
-	lost: 'lost',
-} as const;
-
-export type ServerResultKind = (typeof serverResultKinds)[keyof typeof serverResultKinds];
-
-/** Result of a request at the server. */
-export type ServerResult = {
-	readonly kind: ServerResultKind;
-	readonly result: AttemptResult;
-	/** Undefined without a response. */
-	readonly metadata: ServerResponseMetadata | undefined;
-	/** What the server states about itself; undefined without a response of this server. */
-	readonly notice: ServerNotice | undefined;
-	/** For the log. */
-	readonly reason: string;
-};
-
 /** The server that the gate sends to. */
 export type ServerTarget = {
 	readonly id: string | undefined;
@@ -199,35 +154,15 @@
 
 			return fault === undefined
 				? classifyResponse(result, metadata)
-				: {
-						kind: serverResultKinds.lost,
-						result: createLostResult(fault),
-						metadata,
-						notice: undefined,
-						reason: fault,
-					};
+				: createLostResult(fault, metadata);
 		}
 
-		const reason = result.message;
 		if (result.kind === exchangeKinds.unsent) {
-			const text = `the server accepts no connections (${reason}): try again shortly`;
-			return {
-				kind: serverResultKinds.unreachable,
-				result: createNotRunResult(refusalKinds.noServer, text),
-				metadata: undefined,
-				notice: undefined,
-				reason,
-			};
+			return createUnreachableResult(result.message);
 		}
 
 		avoidPooledConnections();
-		return {
-			kind: serverResultKinds.lost,
-			result: createLostResult(reason),
-			metadata: undefined,
-			notice: undefined,
-			reason,
-		};
+		return createLostResult(result.message);
 	}
 
 	function avoidPooledConnections(): void {
@@ -317,85 +252,3 @@
 		timeout: idleConnectionMilliseconds,
 	});
 }
-
-/** Finds why a response must not be returned for this request. */
-function findResponseFault(
-	response: ExchangeAnswered,
-	metadata: ServerResponseMetadata,
-	call: RelayCall,
-): string | undefined {
-	// On a connection that carried requests before, a server may write an earlier response once more.
-	const isForThis =
-		metadata.requestId === undefined
-			? !response.isReused
-			: metadata.requestId === call.requestId;
-	if (!isForThis) {
-		return 'the response is for another request';
-	}
-
-	if (metadata.declaredNotRun || metadata.isOtherServer) {
-		return undefined;
-	}
-
-	const isSuccess = response.status >= 200 && response.status < 300;
-	return isSuccess && !metadata.sealed
-		? 'a success response without the seal'
-		: undefined;
-}
-
-function classifyResponse(
-	response: ExchangeAnswered,
-	metadata: ServerResponseMetadata,
-): ServerResult {
-	if (metadata.isOtherServer) {
-		const reason = 'another server has the address';
-		const result = createNotRunResult(
-			refusalKinds.noServer,
-			`${reason}: try again shortly`,
-		);
-		return {
-			kind: serverResultKinds.unreachable,
-			result,
-			metadata,
-			notice: undefined,
-			reason,
-		};
-	}
-
-	if (metadata.declaredNotRun) {
-		const reason = `the server shed the request with status ${response.status}`;
-		const result = createNotRunResult(
-			refusalKinds.serverFailed,
-			`${reason}: try again shortly`,
-		);
-		return {kind: serverResultKinds.shed, result, metadata, notice: metadata, reason};
-	}
-
-	const hasFailed = response.status >= firstFailureStatus;
-	return {
-		kind: hasFailed ? serverResultKinds.failed : serverResultKinds.answered,
-		result: {
-			kind: attemptResultKinds.answered,
-			status: response.status,
-			headers: copyEndToEndHeaders(response.rawHeaders),
-			body: response.body,
-			load: undefined,
-		},
-		metadata,
-		notice: metadata,
-		reason: `status ${response.status}`,
-	};
-}
-
-function createNotRunResult(kind: RefusalKind, message: string): AttemptResult {
-	return {
-		kind: attemptResultKinds.refused,
-		refusal: createRefusal(kind, message),
-		outcome: outcomes.notRun,
-		load: undefined,
-	};
-}
-
-function createLostResult(message: string): AttemptResult {
-	return {kind: attemptResultKinds.lost, message};
-}
