--- a/test/process/broken-answers.test.ts
+++ b/test/process/broken-answers.test.ts
@@ -27,10 +27,13 @@
 /** A reset that meets the upload while much of it is unwritten is the one that has looked like an orderly end. */
 const unwritten = {upload: 3_000_000, resetAfter: 0, rounds: 6};
 const uploads = [unwritten.upload, 600_000, 40_000];
-const parts = [0, 5, 60_000, 400_000];
+/** The last is more than a node holds of an answer. */
+const parts = [0, 5, 60_000, 400_000, 1_500_000];
 const resetDelays = [unwritten.resetAfter, 5, 60];
 /** Too large to be held, and not all sent by its caller when the answer comes. */
 const slowUpload = {bytes: 1_200_000, bytesPerSecond: 1_000_000};
+/** A node holds the first MiB of an upload in chunks, so that only the rest is still to come. */
+const slowChunks = {bytes: 1_200_000, bytesPerSecond: 4_000_000};
 const lines = ['HTTP/1.1 200 OK', 'HTTP/1.1 201 Created', 'HTTP/1.0 200 OK'];
 
 type EarlyAnswer = {
@@ -42,13 +45,15 @@
 	readonly resetAfter: number;
 };
 
-function listEarlyAnswers(): EarlyAnswer[] {
-	const answers = lines.flatMap((line, index) =>
-		uploads.flatMap(upload =>
-			parts.flatMap(part =>
-				resetDelays.map(resetAfter => ({
+/** Every kind of answer to uploads of a size, with their length and in chunks. */
+function listKinds(upload: number, uploadBytesPerSecond?: number): EarlyAnswer[] {
+	return lines.flatMap(line =>
+		parts.flatMap(part =>
+			resetDelays.flatMap(resetAfter =>
+				[false, true].map(isChunked => ({
 					upload: 'u'.repeat(upload),
-					isChunked: index === 1,
+					isChunked,
+					uploadBytesPerSecond,
 					line,
 					part: 'p'.repeat(part),
 					resetAfter,
@@ -56,6 +61,10 @@
 			),
 		),
 	);
+}
+
+function listEarlyAnswers(): EarlyAnswer[] {
+	const answers = uploads.flatMap(upload => listKinds(upload));
 	return answers.flatMap(answer => {
 		const isUnwritten =
 			answer.upload.length === unwritten.upload &&
@@ -64,19 +73,15 @@
 	});
 }
 
-function listAnswersToSlowUploads(): EarlyAnswer[] {
-	return lines.flatMap(line =>
-		parts.flatMap(part =>
-			resetDelays.map(resetAfter => ({
-				upload: 'u'.repeat(slowUpload.bytes),
-				isChunked: false,
-				uploadBytesPerSecond: slowUpload.bytesPerSecond,
-				line,
-				part: 'p'.repeat(part),
-				resetAfter,
-			})),
+function listSlow(): EarlyAnswer[] {
+	return [
+		...listKinds(slowUpload.bytes, slowUpload.bytesPerSecond).filter(
+			({isChunked}) => !isChunked,
 		),
-	);
+		...listKinds(slowChunks.bytes, slowChunks.bytesPerSecond).filter(
+			({isChunked}) => isChunked,
+		),
+	];
 }
 
 function writeHead({socket}: IncomingMessage, line: string, requestId: string): void {
@@ -160,7 +165,7 @@
 	const mesh = await startWithOneServer(context, {configuration});
 	const looksWhole = await listUnexpected(
 		mesh,
-		[...listEarlyAnswers(), ...listAnswersToSlowUploads()],
+		[...listEarlyAnswers(), ...listSlow()],
 		breakOff,
 		(_early, {status, isWhole}) => !isWhole || status >= 300,
 	);
@@ -171,7 +176,7 @@
 	const mesh = await startWithOneServer(context, {configuration});
 	const unserved = await listUnexpected(
 		mesh,
-		[...listEarlyAnswers(), ...listAnswersToSlowUploads().slice(0, 2)],
+		[...listEarlyAnswers(), ...listSlow().slice(0, 2), ...listSlow().slice(-2)],
 		endInOrder,
 		({part}, {status, isWhole, body}) => status < 300 && isWhole && body === part,
 	);
