Send each odd head in one segment too, and split it in the middle of what is odd

118 answers instead of 59, at each of two nodes; they were split in the middle of the whole answer, never sent in one segment.

--- a/test/process/odd-heads.test.ts
+++ b/test/process/odd-heads.test.ts
@@ -44,52 +44,76 @@
 	'no colon',
 ];
 
-type OddHead = {readonly name: string; readonly text: (requestId: string) => string};
+type OddHead = {
+	readonly name: string;
+	readonly text: (requestId: string) => string;
+	/** What is odd in it. */
+	readonly oddity: string;
+	/** In the middle of which it is split over two segments; not split if absent. */
+	readonly splitAt?: string;
+};
 
 /** The lines that make a success of an answer. */
 const sealed = (id: string): string =>
 	`X-Request-Id: ${id}\r\nX-Response-Seal: seal-${id}\r\n`;
 const byLength = `Content-Length: ${oddBody.length}\r\n`;
-const oddHeads: readonly OddHead[] = [
+const wholeHeads: readonly OddHead[] = [
 	...statuses.map(status => ({
 		name: `status ${JSON.stringify(status)}`,
+		oddity: `HTTP/1.1 ${status} Odd`,
 		text: (id: string) => `HTTP/1.1 ${status} Odd\r\n${sealed(id)}${byLength}\r\n`,
 	})),
 	...lines.flatMap(line => [
 		{
 			name: `${JSON.stringify(line)} first`,
+			oddity: line,
 			text: (id: string) => `HTTP/1.1 200 OK\r\n${line}\r\n${sealed(id)}${byLength}\r\n`,
 		},
 		{
 			name: `${JSON.stringify(line)} last, until the close`,
+			oddity: line,
 			text: (id: string) =>
 				`HTTP/1.1 200 OK\r\n${sealed(id)}Connection: close\r\n${line}\r\n\r\n`,
 		},
 		{
 			name: `${JSON.stringify(line)} after an informational head`,
+			oddity: line,
 			text: (id: string) =>
 				`HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n${sealed(id)}${line}\r\n${byLength}\r\n`,
 		},
 	]),
 ];
 
-/** Writes an odd head in two segments; the connection stays open unless it ends the body. */
-function answerOddly({nodes}: RelayMesh, {text}: OddHead): void {
+/** Each head in one segment, and in two that part in the middle of what is odd. */
+const oddHeads: readonly OddHead[] = wholeHeads.flatMap(head => [
+	head,
+	{...head, name: `${head.name}, split`, splitAt: head.oddity},
+]);
+
+/** Writes an odd head; the connection stays open unless it ends the body. */
+function answerOddly({nodes}: RelayMesh, {text, splitAt}: OddHead): void {
 	nodes[0]!.server.answerHead(({url, socket}, id) => {
 		if (!url!.startsWith(oddPath)) {
 			return false;
 		}
 
-		const bytes = Buffer.from(text(id) + oddBody, 'latin1');
-		const middle = Math.floor(bytes.length / 2);
-		socket.on('error', () => undefined);
-		socket.write(bytes.subarray(0, middle));
-		setTimeout(() => {
-			socket.write(bytes.subarray(middle));
-			if (text(id).includes('Connection: close')) {
+		const answer = text(id) + oddBody;
+		const finish = (rest: string): void => {
+			socket.write(Buffer.from(rest, 'latin1'));
+			if (answer.includes('Connection: close')) {
 				socket.end();
 			}
-		}, splitMilliseconds);
+		};
+
+		socket.on('error', () => undefined);
+		if (splitAt === undefined) {
+			finish(answer);
+			return true;
+		}
+
+		const middle = answer.indexOf(splitAt) + Math.ceil(splitAt.length / 2);
+		socket.write(Buffer.from(answer.slice(0, middle), 'latin1'));
+		setTimeout(finish, splitMilliseconds, answer.slice(middle));
 		return true;
 	});
 }
@@ -112,6 +136,7 @@
 	// Kept open, the connection would take no further answer of the stand-in's own, which waits for this one.
 	answerOddly(mesh, {
 		name: 'sound',
+		oddity: '',
 		text: id => `HTTP/1.1 200 OK\r\n${sealed(id)}Connection: close\r\n${byLength}\r\n`,
 	});
 	for (const {callersPort: port} of mesh.nodes) {
