Refuse a broken or invalid answer to the question for the store's clock

What was seen: a node believed what another node states of the store's clock and of the age of its routes in an answer with a status that HTTP does not know, or whose connection was reset. It was left out of the readers before, as it reads a header only.

Cause: the same as with the other readers; nothing of the answer was checked but the form of that header.

Evidence: five of ten cases for this reader failed in http/answer-readers: statuses 000, 099 and 600, and a reset at once and later.

Why this works: it asks for the same verdict as all other readers, and takes the header only from a sound answer.

--- a/src/relay/peer-proof.ts
+++ b/src/relay/peer-proof.ts
@@ -3,6 +3,7 @@
  * and answer: the asker adds the time since it asked, on its own clock.
  */
 import {request as sendRequest} from 'node:http';
+import {awaitSoundResponse} from '../http/index.js';
 import type {Member} from '../membership/index.js';
 import type {RoutesProof} from '../proven-age/index.js';
 import {newerThanHeader, routesPath, storeClockHeader} from './peer-listener.js';
@@ -73,8 +74,12 @@
 			signal: AbortSignal.timeout(peerTimeoutMilliseconds),
 		});
 		request.on('response', response => {
+			const verdict = awaitSoundResponse(request, response);
 			response.resume();
-			resolve(parseKnowledge(response.headers[storeClockHeader]));
+			void verdict.then(fault => {
+				const text = fault === undefined && response.headers[storeClockHeader];
+				resolve(parseKnowledge(text));
+			});
 		});
 		request.on('error', () => {
 			resolve(undefined);
--- a/test/http/answer-readers.test.ts
+++ b/test/http/answer-readers.test.ts
@@ -11,6 +11,7 @@
 import {exchangeKinds, startExchange} from '../../src/http/index.js';
 import {parseExperiment} from '../../src/load/index.js';
 import {sendLoadRequest} from '../../src/load/sender.js';
+import {askPeer} from '../../src/relay/peer-proof.js';
 import {askForRoutes} from '../../src/relay/peer-routes-question.js';
 import {createTableClient} from '../../src/table/index.js';
 import {describeMember} from '../membership/simulated-mesh.js';
@@ -24,7 +25,8 @@
 streams: [{name: one, service: one, ratePerSecond: 1}]
 `;
 /** Followed by a row, a document or a report; a part of it may be valid too. */
-const head = 'HTTP/1.1 200 OK\r\nETag: "1"\r\nConnection: close\r\n';
+const head =
+	'HTTP/1.1 200 OK\r\nETag: "1"\r\nFoxtailtide-Store-Clock: 1 5\r\nConnection: close\r\n';
 
 /** Whether a reader takes what it gets for an answer, and for all of it. */
 type TakesAnswer = (port: number) => Promise<boolean>;
@@ -73,6 +75,12 @@
 			return document !== undefined;
 		},
 	],
+	[
+		'the question for the clock of the store',
+		async port =>
+			(await askPeer(describeMember({nodeId: 'peer', host, peerPort: port}))) !==
+			undefined,
+	],
 	[
 		'the client of the administration',
 		async port => {
