Take no request with a key, of another VM or beyond its parent's time for a call of the server

Cause: the gate took each request whose id extends that of a running one for a call of the local server. Calls need no key, whatever the age of the routes, so anybody could leave the key out. An id is chosen by its sender and proves nothing.

Why this works: a call bears no key, so a request with one is its team's in every respect: allowance, order, homes, and the flag to the next node. One without is a call only if it comes from this VM, its id extends that of a running request, and it states no more time than that request has left.

--- a/src/relay/caller-listener.ts
+++ b/src/relay/caller-listener.ts
@@ -44,7 +44,8 @@
 import {chooseTimeout, createBodyTimeoutRefusal, limitStream} from './call-deadline.js';
 import type {AdmitCaller, ReturnAllowance, SpendAllowance} from './caller-admission.js';
 import type {RunRelayCall} from './call-runner.js';
-import type {ParentRequest, RelayGate} from './gate-types.js';
+import type {FindParent} from './call-origin.js';
+import type {ParentRequest} from './gate-types.js';
 import type {CallerRequestMetadata, PlatformProtocol} from './platform-protocol.js';
 import {receiveBody} from './receive-body.js';
 import type {ActiveRoutes} from './active-routes.js';
@@ -61,8 +62,8 @@
 	readonly returnAllowance: ReturnAllowance;
 	/** Service of the local server, given as the origin of the calls. */
 	readonly service: string;
-	/** Finds the request at the local server that made the one with this id. */
-	readonly findParent: RelayGate['findParent'];
+	/** Finds the request at the local server that made a call. */
+	readonly findParent: FindParent;
 	/** The link over which bodies reach this VM. */
 	readonly inboundLink: InboundLink;
 	/** Monotonic time in milliseconds. */
@@ -183,7 +184,7 @@
 			return;
 		}
 
-		const parent = options.findParent(metadata.requestId ?? '');
+		const parent = options.findParent(metadata, request.socket);
 		const nested = parent !== undefined;
 		const claim = {route, key: metadata.teamKey, nested};
 		const admission = options.admitCaller(activeRoutes, claim, now());
--- a/src/relay/components.ts
+++ b/src/relay/components.ts
@@ -12,6 +12,7 @@
 import {createInboundLink} from '../waiting/index.js';
 import type {AnnouncementHandler, PlatformAdapter} from './adapter.js';
 import {createAwaitedRoutes} from './awaited-routes.js';
+import {createParentSearch} from './call-origin.js';
 import {createCallerAdmission} from './caller-admission.js';
 import {createRelayRunner} from './call-runner.js';
 import {createCrashQuarantine} from './crash-quarantine.js';
@@ -89,6 +90,7 @@
 ): RelayComponents {
 	const {node, server, listeners} = settings;
 	const {protocol} = adapter;
+	const serverAddress = splitAddress(server.address);
 	const budget = createMeasuringBudget(settings.measuring);
 	const meanResponseBytes = new Map<string, number>();
 	const createdAt = now();
@@ -165,7 +167,7 @@
 		log,
 		now,
 		random: Math.random,
-		server: {...splitAddress(server.address), service: server.service},
+		server: {...serverAddress, service: server.service},
 		maximumConnections: server.maximumConnections,
 		inboundLink,
 		coldRequestsPerSecond: () =>
@@ -255,7 +257,7 @@
 		spendAllowance: allowances.spend,
 		returnAllowance: allowances.giveBack,
 		service: server.service,
-		findParent: gate.findParent,
+		findParent: createParentSearch({gate, serverHost: serverAddress.host}),
 		inboundLink,
 		now,
 		onCallEnd(end) {
--- a/src/relay/gate-entry.ts
+++ b/src/relay/gate-entry.ts
@@ -43,11 +43,35 @@
 	};
 }
 
-/** Tells whether a started request made the one with an id; the id of a nested request extends it. */
-export function isParentOf({attempt, exchange}: GateEntry, requestId: string): boolean {
-	const {requestId: runningId} = attempt.call;
+/** A request that may be a call of the local server, by what it states itself. */
+export type CallClaim = {
+	/** Undefined if not given. */
+	readonly requestId: string | undefined;
+	/** How long its sender waits; undefined if not given. */
+	readonly timeoutMilliseconds: number | undefined;
+};
+
+/** By how much a call may seem to outlast its parent, since it may be read late. */
+const lateArrivalMilliseconds = 500;
+
+/**
+ * Tells whether a started request may have made a call: the call's id extends that of its parent, and it expires no
+ * later. Anybody may state both, so they prove nothing of where the call comes from.
+ *
+ * @param entry the started request
+ * @param claim what the call states
+ * @param now monotonic time in milliseconds
+ */
+export function mayBeParentOf(
+	{attempt, exchange}: GateEntry,
+	{requestId = '', timeoutMilliseconds = 0}: CallClaim,
+	now: number,
+): boolean {
+	const {requestId: runningId, deadlineAt} = attempt.call;
 	const isLonger = requestId.length > runningId.length && runningId !== '';
-	return exchange !== undefined && isLonger && requestId.startsWith(runningId);
+	const extendsId = isLonger && requestId.startsWith(runningId);
+	const expiresInTime = now + timeoutMilliseconds <= deadlineAt + lateArrivalMilliseconds;
+	return exchange !== undefined && extendsId && expiresInTime;
 }
 
 /** Creates the queue's view of an attempt. */
--- a/src/relay/gate-types.ts
+++ b/src/relay/gate-types.ts
@@ -11,6 +11,7 @@
 import type {InboundLink} from '../waiting/index.js';
 import type {RetryPolicy} from '../repeats/index.js';
 import type {RelayAttempt, RelayCall} from './call.js';
+import type {CallClaim} from './gate-entry.js';
 import type {QuarantineOfGate} from './gate-quarantine.js';
 import type {PlatformProtocol} from './platform-protocol.js';
 
@@ -102,8 +103,8 @@
 	readonly deregisterServer: (server: ServerProcess) => boolean;
 	/** Applies what was learned of servers that leave. */
 	readonly applyLeaving: () => void;
-	/** Finds the request running here that made the one with this id; undefined if none did. */
-	readonly findParent: (requestId: string) => ParentRequest | undefined;
+	/** Finds the request running here that made a call, as far as the call states; undefined if none did. */
+	readonly findParent: (claim: CallClaim) => ParentRequest | undefined;
 	/** Refuses new requests from now on. */
 	readonly drain: () => void;
 	readonly state: () => RelayGateState;
--- a/src/relay/gate.ts
+++ b/src/relay/gate.ts
@@ -41,7 +41,7 @@
 	type RequestEnd,
 } from '../waiting/index.js';
 import {refuseWhereClosed} from './closed-gate.js';
-import {createEntry, describeEntry, isParentOf, type GateEntry} from './gate-entry.js';
+import {createEntry, describeEntry, mayBeParentOf, type GateEntry} from './gate-entry.js';
 import {createGateQuarantine, mayHaveCrashed} from './gate-quarantine.js';
 import {createGateQueue} from './gate-queue.js';
 import type {RelayGate, RelayGateOptions} from './gate-types.js';
@@ -460,9 +460,9 @@
 		handleAnnouncement: localServer.handleAnnouncement,
 		deregisterServer: localServer.deregister,
 		applyLeaving: localServer.applyLeaving,
-		findParent(requestId) {
+		findParent(claim) {
 			for (const entry of entries.values()) {
-				if (isParentOf(entry, requestId)) {
+				if (mayBeParentOf(entry, claim, now())) {
 					const {isRetry, call} = entry.attempt;
 					return {isRepeated: isRetry || call.repeated};
 				}
